Lay out modules, lint, formatter and the interfaces of core

Cause: nothing stood yet. Change: Maven modules core, standins, server, tools, app and bench; spotless (google-java-format AOSP), Checkstyle and Error Prone in verify; the typed interfaces that the packages of core share; in-memory object store, virtual scheduler, rendezvous ranking, blackboard section. Conclusion: packages can grow side by side against these interfaces.

--- /dev/null
+++ b/bench/src/main/java/org/amaranthpick/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks and measuring runs. */
+package org.amaranthpick.bench;
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/admit/package-info.java
@@ -0,0 +1,2 @@
+/** Admission: limits, fairness, priorities, deadlines, bounded queues. */
+package org.amaranthpick.core.admit;
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/board/package-info.java
@@ -0,0 +1,2 @@
+/** Blackboard that controllers read and write, sharded under locks. */
+package org.amaranthpick.core.board;
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** Accepted configuration: publishing, spreading and reading it. */
+package org.amaranthpick.core.config;
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/invariant/package-info.java
@@ -0,0 +1,2 @@
+/** Invariants asserted inside the program and counted. */
+package org.amaranthpick.core.invariant;
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/name/package-info.java
@@ -0,0 +1,2 @@
+/** Identities of resources: (fleet, kind, name), and how references resolve. */
+package org.amaranthpick.core.name;
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/observe/package-info.java
@@ -0,0 +1,2 @@
+/** Observation of upstreams: load, cache events and their age. */
+package org.amaranthpick.core.observe;
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Placement of layers, versions and adapters; leases, fencing and orders. */
+package org.amaranthpick.core.placement;
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/request/package-info.java
@@ -0,0 +1,2 @@
+/** Life of a request: admission, attempts, token sequence, outcome. */
+package org.amaranthpick.core.request;
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Retry budget, backoff, outlier ejection, slow start. */
+package org.amaranthpick.core.retry;
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/route/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of chains: model graph, max-flow bound, predicted cost. */
+package org.amaranthpick.core.route;
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/store/WriteCondition.java
@@ -0,0 +1,14 @@
+package org.amaranthpick.core.store;
+
+/** Condition on the present state of an object. */
+public sealed interface WriteCondition {
+    /** The object must not exist. */
+    record Absent() implements WriteCondition {}
+
+    /**
+     * The object must have this version.
+     *
+     * @param version version expected
+     */
+    record AtVersion(long version) implements WriteCondition {}
+}
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Upstreams as the router sees them: streams, calls, status and orders. */
+package org.amaranthpick.core.upstream;
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon: listeners, store client, peer links and metrics. */
+package org.amaranthpick.server;
--- /dev/null
+++ b/tools/src/main/java/org/amaranthpick/tools/package-info.java
@@ -0,0 +1,2 @@
+/** Commands of the amaranthpick program. */
+package org.amaranthpick.tools;
