--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/metrics/DaemonMetrics.java
@@ -0,0 +1,181 @@
+package org.amaranthpick.server.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.function.DoubleSupplier;
+import org.amaranthpick.core.invariant.Invariant;
+import org.amaranthpick.core.invariant.Invariants;
+import org.amaranthpick.core.name.Identity;
+
+/** The daemon's metrics: one small set per promise. */
+public final class DaemonMetrics {
+    private static final String NAMESPACE = "amaranthpick_";
+
+    /** First-token buckets, in seconds; 0.92 is the target. */
+    private static final double[] FIRST_TOKEN_SECONDS = {
+        0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 0.92, 1.2, 2, 5, 10
+    };
+
+    /** Between-token buckets, in seconds; 0.025 is the target. */
+    private static final double[] TOKEN_GAP_SECONDS = {
+        0.005, 0.01, 0.015, 0.02, 0.025, 0.035, 0.05, 0.1, 0.5, 2
+    };
+
+    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+    private final Counter mOutcomes;
+    private final Counter mRefusals;
+    private final Counter mWorkspaceRequests;
+    private final Counter mTokens;
+    private final Histogram mFirstToken;
+    private final Histogram mTokenGap;
+
+    /** Creates the metrics at zero. */
+    public DaemonMetrics() {
+        mOutcomes =
+                counter("outcomes", "Requests by fleet, kind and outcome.")
+                        .labelNames("fleet", "kind", "outcome")
+                        .register(mRegistry);
+        mRefusals =
+                counter("refusals", "Requests refused without running, by reason.")
+                        .labelNames("fleet", "reason")
+                        .register(mRegistry);
+        mWorkspaceRequests =
+                counter("workspace_requests", "Requests by workspace.")
+                        .labelNames("fleet", "workspace")
+                        .register(mRegistry);
+        mTokens =
+                counter("tokens", "Tokens emitted to callers.")
+                        .labelNames("fleet")
+                        .register(mRegistry);
+        mFirstToken = histogram("first_token_seconds", "Time to first token.", FIRST_TOKEN_SECONDS);
+        mTokenGap = histogram("token_gap_seconds", "Time between two tokens.", TOKEN_GAP_SECONDS);
+    }
+
+    /**
+     * Registers the count of violations of every invariant.
+     *
+     * @param invariants counters
+     */
+    public void watch(Invariants invariants) {
+        GaugeWithCallback.builder()
+                .name(NAMESPACE + "invariant_violations")
+                .help("Violations of each invariant since the start; any above 0 is a fault.")
+                .labelNames("invariant")
+                .callback(
+                        callback -> {
+                            for (Invariant invariant : Invariant.values()) {
+                                callback.call(
+                                        (double) invariants.violations(invariant),
+                                        invariant.label());
+                            }
+                        })
+                .register(mRegistry);
+    }
+
+    /**
+     * Registers a value read at each scrape.
+     *
+     * @param name name without the common prefix
+     * @param help one sentence
+     * @param value read at each scrape
+     */
+    public void gauge(String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(NAMESPACE + name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(mRegistry);
+    }
+
+    /**
+     * Counts a request that starts.
+     *
+     * @param workspace workspace of the caller
+     */
+    public void onRequest(Identity workspace) {
+        mWorkspaceRequests.labelValues(workspace.fleet(), workspace.name()).inc();
+    }
+
+    /**
+     * Counts an outcome.
+     *
+     * @param fleet fleet of the workspace
+     * @param kind {@code model} or {@code service}
+     * @param outcome outcome label
+     */
+    public void onOutcome(String fleet, String kind, String outcome) {
+        mOutcomes.labelValues(fleet, kind, outcome).inc();
+    }
+
+    /**
+     * Counts a refusal.
+     *
+     * @param fleet fleet of the workspace
+     * @param reason label of the reason
+     */
+    public void onRefusal(String fleet, String reason) {
+        mRefusals.labelValues(fleet, reason).inc();
+    }
+
+    /**
+     * Records the first token of a request.
+     *
+     * @param fleet fleet of the workspace
+     * @param elapsed time since the request came
+     */
+    public void onFirstToken(String fleet, Duration elapsed) {
+        mTokens.labelValues(fleet).inc();
+        mFirstToken.observe(seconds(elapsed));
+    }
+
+    /**
+     * Records a later token.
+     *
+     * @param fleet fleet of the workspace
+     * @param gap time since the token before
+     */
+    public void onToken(String fleet, Duration gap) {
+        mTokens.labelValues(fleet).inc();
+        mTokenGap.observe(seconds(gap));
+    }
+
+    /**
+     * Writes all metrics in the Prometheus text format.
+     *
+     * @return exposition text
+     */
+    public String text() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, mRegistry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    private Histogram histogram(String name, String help, double[] boundsSeconds) {
+        return Histogram.builder()
+                .name(NAMESPACE + name)
+                .help(help)
+                .classicOnly()
+                .classicUpperBounds(boundsSeconds)
+                .register(mRegistry);
+    }
+
+    private static Counter.Builder counter(String name, String help) {
+        return Counter.builder().name(NAMESPACE + name).help(help);
+    }
+
+    private static double seconds(Duration duration) {
+        return duration.toNanos() / 1e9;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/metrics/MeteredRouter.java
@@ -0,0 +1,112 @@
+package org.amaranthpick.server.metrics;
+
+import java.time.Duration;
+import org.amaranthpick.core.request.AnswerSink;
+import org.amaranthpick.core.request.CallerRequest;
+import org.amaranthpick.core.request.Outcome;
+import org.amaranthpick.core.request.RequestHandle;
+import org.amaranthpick.core.request.Router;
+import org.amaranthpick.core.request.ServiceRequest;
+import org.amaranthpick.core.request.ServiceSink;
+import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.core.upstream.ServiceReply;
+
+/** Router that counts what passes through another. */
+public final class MeteredRouter implements Router {
+    private final Router mRouter;
+    private final DaemonMetrics mMetrics;
+    private final Scheduler mScheduler;
+
+    /**
+     * Creates the router.
+     *
+     * @param router does the work
+     * @param metrics takes the counts
+     * @param scheduler clock
+     */
+    public MeteredRouter(Router router, DaemonMetrics metrics, Scheduler scheduler) {
+        mRouter = router;
+        mMetrics = metrics;
+        mScheduler = scheduler;
+    }
+
+    @Override
+    public RequestHandle submit(CallerRequest request, AnswerSink sink) {
+        mMetrics.onRequest(request.workspace().id());
+        return mRouter.submit(request, new MeteredAnswer(request.workspace().id().fleet(), sink));
+    }
+
+    @Override
+    public RequestHandle submit(ServiceRequest request, ServiceSink sink) {
+        mMetrics.onRequest(request.workspace().id());
+        return mRouter.submit(request, new MeteredService(request.workspace().id().fleet(), sink));
+    }
+
+    @Override
+    public int inProgress() {
+        return mRouter.inProgress();
+    }
+
+    private void count(String fleet, String kind, Outcome outcome) {
+        if (outcome instanceof Outcome.NotRun notRun) {
+            mMetrics.onOutcome(fleet, kind, "not-run");
+            mMetrics.onRefusal(fleet, notRun.reason().label());
+        } else if (outcome instanceof Outcome.Interrupted) {
+            mMetrics.onOutcome(fleet, kind, "interrupted");
+        } else {
+            mMetrics.onOutcome(fleet, kind, "answered");
+        }
+    }
+
+    private final class MeteredAnswer implements AnswerSink {
+        private final String mFleet;
+        private final AnswerSink mSink;
+        private long mLastNs = mScheduler.monotonicNs();
+
+        MeteredAnswer(String fleet, AnswerSink sink) {
+            mFleet = fleet;
+            mSink = sink;
+        }
+
+        @Override
+        public void onToken(int index, String text) {
+            long nowNs = mScheduler.monotonicNs();
+            Duration gap = Duration.ofNanos(nowNs - mLastNs);
+            mLastNs = nowNs;
+            if (index == 0) {
+                mMetrics.onFirstToken(mFleet, gap);
+            } else {
+                mMetrics.onToken(mFleet, gap);
+            }
+            mSink.onToken(index, text);
+        }
+
+        @Override
+        public void onOutcome(Outcome outcome) {
+            count(mFleet, "model", outcome);
+            mSink.onOutcome(outcome);
+        }
+    }
+
+    private final class MeteredService implements ServiceSink {
+        private final String mFleet;
+        private final ServiceSink mSink;
+
+        MeteredService(String fleet, ServiceSink sink) {
+            mFleet = fleet;
+            mSink = sink;
+        }
+
+        @Override
+        public void onAnswered(ServiceReply.Answered reply, boolean replayed) {
+            mMetrics.onOutcome(mFleet, "service", "answered");
+            mSink.onAnswered(reply, replayed);
+        }
+
+        @Override
+        public void onFailed(Outcome outcome) {
+            count(mFleet, "service", outcome);
+            mSink.onFailed(outcome);
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Prometheus metrics of the daemon. */
+package org.amaranthpick.server.metrics;
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/operator/OperatorActions.java
@@ -0,0 +1,40 @@
+package org.amaranthpick.server.operator;
+
+import java.util.List;
+import java.util.Optional;
+import org.amaranthpick.core.explain.DecisionTrail;
+
+/** What operators can ask of a daemon. */
+public interface OperatorActions {
+    /**
+     * Tells why the daemon is not ready.
+     *
+     * @return reason, empty if it is ready
+     */
+    Optional<String> notReady();
+
+    /**
+     * Returns the metrics.
+     *
+     * @return Prometheus text format
+     */
+    String metrics();
+
+    /**
+     * Returns the status.
+     *
+     * @return typed status of this daemon
+     */
+    DaemonStatus status();
+
+    /**
+     * Returns the decisions on a request or resource.
+     *
+     * @param subject request id or resource key
+     * @return entries, oldest first
+     */
+    List<DecisionTrail.Entry> explain(String subject);
+
+    /** Starts a graceful shutdown and returns at once. */
+    void drain();
+}
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/operator/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP listener of operators: health, metrics, status, explain and drain. */
+package org.amaranthpick.server.operator;
