Add the HTTP dialects of upstreams and store with their stand-ins

Cause: the daemon needs a way to engines, plain services and the platform's object API that tells exactly what was sent. Change: server.http makes calls on Undertow's client from bounded pools, one pool per receiver on one I/O thread, and tells "not sent" from "lost" by the byte counter of the connection. server.upstream and server.store speak the dialects; server.time runs timers. standins holds an engine, a store and a service with their faults; the engine records every layer run. Seen failing first: a refusal without a closing newline was told as a lost stage, and a call timeout left silent pooled connections in use; both have a test. Conclusion: each failure at the first stage gives the right end, and "not run" was never said of a request that the engines had run.

--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/http/HttpConnector.java
@@ -0,0 +1,91 @@
+package org.amaranthpick.server.http;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.net.URI;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import org.amaranthpick.core.time.Scheduler;
+import org.xnio.XnioWorker;
+
+/**
+ * Makes outgoing HTTP/1.1 calls. Each receiver has one pool of connections that lives on one I/O
+ * thread, so that pools and calls need no locks. Thread-safe; never blocks.
+ */
+public final class HttpConnector implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int MAX_POOLED_BUFFERS = 1024;
+    private static final int BUFFERS_PER_THREAD = 12;
+
+    private final XnioWorker mWorker;
+    private final Scheduler mScheduler;
+    private final ConnectorSettings mSettings;
+    private final ByteBufferPool mBuffers =
+            new DefaultByteBufferPool(
+                    true, BUFFER_BYTES, MAX_POOLED_BUFFERS, BUFFERS_PER_THREAD, 0);
+    private final ConcurrentMap<String, HostPool> mPools = new ConcurrentHashMap<>();
+    private final ConnectorCounters mCounters = new ConnectorCounters();
+
+    /**
+     * Creates a connector without connections.
+     *
+     * @param worker gives the I/O threads; stays the caller's to shut down
+     * @param scheduler clock and timers
+     * @param settings bounds of the pools
+     */
+    public HttpConnector(XnioWorker worker, Scheduler scheduler, ConnectorSettings settings) {
+        mWorker = worker;
+        mScheduler = scheduler;
+        mSettings = settings;
+    }
+
+    /**
+     * Prepares a call; {@link OutgoingCall#start()} sends it.
+     *
+     * @param request the request
+     * @param listener told of the call once it is started
+     * @return handle of the call
+     */
+    public OutgoingCall prepare(OutgoingRequest request, ResponseListener listener) {
+        HostPool pool = mPools.computeIfAbsent(poolKey(request.address()), key -> pool(request));
+        return new OutgoingCall(pool, mScheduler, request, listener);
+    }
+
+    /**
+     * Starts a call.
+     *
+     * @param request the request
+     * @param listener told of the call, perhaps before this method returns
+     */
+    public void send(OutgoingRequest request, ResponseListener listener) {
+        prepare(request, listener).start();
+    }
+
+    /**
+     * Returns the counters of all pools.
+     *
+     * @return live counters
+     */
+    public ConnectorCounters counters() {
+        return mCounters;
+    }
+
+    @Override
+    public void close() {
+        mPools.values().forEach(HostPool::close);
+    }
+
+    private HostPool pool(OutgoingRequest request) {
+        return new HostPool(
+                request.address(),
+                mWorker.getIoThread(),
+                mBuffers,
+                mScheduler,
+                mSettings,
+                mCounters);
+    }
+
+    private static String poolKey(URI address) {
+        return address.getScheme() + "://" + address.getAuthority();
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -0,0 +1,333 @@
+package org.amaranthpick.server.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.amaranthpick.core.time.Cancellable;
+import org.amaranthpick.core.time.Scheduler;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * One outgoing call. Its state lives on the I/O thread of its pool; the public methods may be
+ * called on any thread.
+ */
+public final class OutgoingCall {
+    private final HostPool mPool;
+    private final Scheduler mScheduler;
+    private final OutgoingRequest mRequest;
+    private final ResponseListener mListener;
+    private final HostPool.Taker mTaker = new ConnectionTaker();
+
+    private ClientConnection mConnection;
+    private StreamSourceChannel mSource;
+    private ByteBuffer mBody;
+    private long mWrittenBefore;
+    private long mLastByteNs;
+    private boolean mReused;
+    private boolean mReplaced;
+    private boolean mSendingTold;
+    private boolean mRequestWritten;
+    private boolean mPaused;
+    private boolean mDone;
+    private Cancellable mStepTimer = () -> {};
+    private Cancellable mTotalTimer = () -> {};
+
+    OutgoingCall(
+            HostPool pool,
+            Scheduler scheduler,
+            OutgoingRequest request,
+            ResponseListener listener) {
+        mPool = pool;
+        mScheduler = scheduler;
+        mRequest = request;
+        mListener = listener;
+    }
+
+    /** Sends the request. Called once. */
+    public void start() {
+        if (!mPool.execute(this::begin)) {
+            end(new CallEnd.NotSent("the client is closed"));
+        }
+    }
+
+    /** Stops reading until {@link #resume()}. */
+    public void pause() {
+        mPool.execute(() -> mPaused = true);
+    }
+
+    /** Goes on reading. */
+    public void resume() {
+        mPool.execute(this::doResume);
+    }
+
+    /** Ends the call and closes its connection. */
+    public void cancel() {
+        mPool.execute(() -> fail("cancelled"));
+    }
+
+    private void begin() {
+        if (mDone) {
+            return;
+        }
+        mRequest.total().ifPresent(total -> mTotalTimer = after(total, this::onTotalTimeout));
+        mStepTimer = after(mPool.connectTimeout(), this::onConnectTimeout);
+        mPool.acquire(mTaker);
+    }
+
+    private void onConnectTimeout() {
+        if (mConnection == null) {
+            fail("no connection within " + mPool.connectTimeout().toMillis() + " ms");
+        }
+    }
+
+    private void onTotalTimeout() {
+        if (mConnection != null && mSource == null) {
+            distrustPool();
+        }
+        fail("no whole response in time");
+    }
+
+    private void use(ClientConnection connection, boolean reused) {
+        mStepTimer.cancel();
+        mConnection = connection;
+        mReused = reused;
+        mWrittenBefore = connection.getStatistics().getWritten();
+        tellSending();
+        if (mDone) {
+            return;
+        }
+        mLastByteNs = mScheduler.monotonicNs();
+        mStepTimer = after(mRequest.silence(), this::checkSilence);
+        connection.sendRequest(clientRequest(), callback(this::onExchange));
+    }
+
+    private void tellSending() {
+        if (!mSendingTold) {
+            mSendingTold = true;
+            mListener.onSending();
+        }
+    }
+
+    private ClientRequest clientRequest() {
+        ClientRequest request = new ClientRequest();
+        request.setMethod(HttpString.tryFromString(mRequest.method()));
+        request.setPath(mRequest.path());
+        mRequest.headers().forEach((k, v) -> request.getRequestHeaders().put(new HttpString(k), v));
+        request.getRequestHeaders().put(Headers.HOST, mRequest.address().getAuthority());
+        if (mRequest.body().length > 0) {
+            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, mRequest.body().length);
+        }
+        return request;
+    }
+
+    private void onExchange(ClientExchange exchange) {
+        if (mDone) {
+            return;
+        }
+        exchange.setResponseListener(callback(this::onResponse));
+        if (mRequest.body().length == 0) {
+            mRequestWritten = true;
+            return;
+        }
+        mBody = ByteBuffer.wrap(mRequest.body());
+        StreamSinkChannel sink = exchange.getRequestChannel();
+        sink.getWriteSetter().set(this::write);
+        write(sink);
+    }
+
+    private void write(StreamSinkChannel sink) {
+        if (mDone || mRequestWritten) {
+            return;
+        }
+        try {
+            while (mBody.hasRemaining()) {
+                if (sink.write(mBody) == 0) {
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            sink.shutdownWrites();
+            if (!sink.flush()) {
+                sink.resumeWrites();
+                return;
+            }
+            sink.suspendWrites();
+            mRequestWritten = true;
+        } catch (IOException e) {
+            onFailure(e);
+        }
+    }
+
+    private void onResponse(ClientExchange exchange) {
+        if (mDone) {
+            return;
+        }
+        mLastByteNs = mScheduler.monotonicNs();
+        ClientResponse response = exchange.getResponse();
+        mListener.onResponse(response.getResponseCode(), response.getResponseHeaders());
+        if (mDone) {
+            return;
+        }
+        mSource = exchange.getResponseChannel();
+        mSource.getReadSetter().set(this::read);
+        read(mSource);
+    }
+
+    private void read(StreamSourceChannel source) {
+        try {
+            while (!mDone && !mPaused) {
+                ByteBuffer buffer = mPool.readBuffer().clear();
+                int count = source.read(buffer);
+                if (count < 0) {
+                    complete();
+                    return;
+                }
+                if (count == 0) {
+                    source.resumeReads();
+                    return;
+                }
+                mLastByteNs = mScheduler.monotonicNs();
+                mListener.onBytes(buffer.flip());
+            }
+            source.suspendReads();
+        } catch (IOException e) {
+            onFailure(e);
+        }
+    }
+
+    private void doResume() {
+        mPaused = false;
+        mLastByteNs = mScheduler.monotonicNs();
+        if (!mDone && mSource != null) {
+            read(mSource);
+        }
+    }
+
+    private void complete() {
+        ClientConnection connection = mConnection;
+        mConnection = null;
+        if (mRequestWritten) {
+            mPool.release(connection);
+        } else {
+            IoUtils.safeClose(connection);
+        }
+        end(new CallEnd.Complete());
+    }
+
+    private void checkSilence() {
+        long silentNs = mPaused ? 0 : mScheduler.monotonicNs() - mLastByteNs;
+        long leftNs = mRequest.silence().toNanos() - silentNs;
+        if (leftNs > 0) {
+            mStepTimer = after(Duration.ofNanos(leftNs), this::checkSilence);
+            return;
+        }
+        distrustPool();
+        fail("no byte for " + mRequest.silence().toMillis() + " ms");
+    }
+
+    /** Idle connections may be as silent as this one; none of them carries another call. */
+    private void distrustPool() {
+        mPool.counters().countSilent();
+        mPool.dropIdle();
+    }
+
+    private void onFailure(IOException e) {
+        if (mDone) {
+            return;
+        }
+        if (mReused && !mReplaced && nothingWritten()) {
+            replaceConnection();
+        } else {
+            fail(Failures.text(e));
+        }
+    }
+
+    private void replaceConnection() {
+        mReplaced = true;
+        mPool.counters().countReplaced();
+        IoUtils.safeClose(mConnection);
+        mConnection = null;
+        mStepTimer.cancel();
+        mStepTimer = after(mPool.connectTimeout(), this::onConnectTimeout);
+        mPool.acquireFresh(mTaker);
+    }
+
+    private boolean nothingWritten() {
+        return mConnection == null || mConnection.getStatistics().getWritten() == mWrittenBefore;
+    }
+
+    private void fail(String reason) {
+        if (mDone) {
+            return;
+        }
+        boolean unsent = nothingWritten();
+        mPool.forget(mTaker);
+        IoUtils.safeClose(mConnection);
+        end(unsent ? new CallEnd.NotSent(reason) : new CallEnd.Lost(reason));
+    }
+
+    private void end(CallEnd end) {
+        if (mDone) {
+            return;
+        }
+        mDone = true;
+        mStepTimer.cancel();
+        mTotalTimer.cancel();
+        mListener.onEnd(end);
+    }
+
+    private Cancellable after(Duration delay, Runnable task) {
+        return mScheduler.schedule(delay, () -> mPool.execute(() -> runIfOpen(task)));
+    }
+
+    private void runIfOpen(Runnable task) {
+        if (!mDone) {
+            task.run();
+        }
+    }
+
+    private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> then) {
+        ClientConnection connection = mConnection;
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+                if (connection == mConnection) {
+                    then.accept(exchange);
+                }
+            }
+
+            @Override
+            public void failed(IOException e) {
+                if (connection == mConnection) {
+                    onFailure(e);
+                }
+            }
+        };
+    }
+
+    private final class ConnectionTaker implements HostPool.Taker {
+        @Override
+        public void onConnection(ClientConnection connection, boolean reused) {
+            if (mDone) {
+                mPool.release(connection);
+            } else {
+                use(connection, reused);
+            }
+        }
+
+        @Override
+        public void onNoConnection(String reason) {
+            fail(reason);
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/http/ResponseListener.java
@@ -0,0 +1,32 @@
+package org.amaranthpick.server.http;
+
+import io.undertow.util.HeaderMap;
+import java.nio.ByteBuffer;
+
+/** Told of one outgoing call, on one I/O thread. Must not block. */
+public interface ResponseListener {
+    /** The first byte of the request may leave this host from now on. Told once at most. */
+    default void onSending() {}
+
+    /**
+     * The head of the response came.
+     *
+     * @param status HTTP status
+     * @param headers response headers
+     */
+    void onResponse(int status, HeaderMap headers);
+
+    /**
+     * Bytes of the response body came.
+     *
+     * @param bytes the bytes, valid during the call only
+     */
+    void onBytes(ByteBuffer bytes);
+
+    /**
+     * The call ended; nothing is told after it.
+     *
+     * @param end how it ended
+     */
+    void onEnd(CallEnd end);
+}
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/upstream/UpstreamSettings.java
@@ -0,0 +1,41 @@
+package org.amaranthpick.server.upstream;
+
+import java.time.Duration;
+import org.amaranthpick.server.http.ConnectorSettings;
+
+/**
+ * Bounds of the calls to upstreams.
+ *
+ * @param connector bounds of the connection pools
+ * @param streamSilence longest time without a byte on a token stream; engines send a keep-alive
+ *     line more often
+ * @param callTimeout longest time for a status, order or cancel call
+ * @param serviceTimeout longest time for a call of a plain service
+ * @param maxLineBytes longest line of a stream
+ * @param maxBodyBytes largest body of any other reply
+ */
+public record UpstreamSettings(
+        ConnectorSettings connector,
+        Duration streamSilence,
+        Duration callTimeout,
+        Duration serviceTimeout,
+        int maxLineBytes,
+        int maxBodyBytes) {
+    private static final UpstreamSettings DEFAULTS =
+            new UpstreamSettings(
+                    ConnectorSettings.defaults(),
+                    Duration.ofSeconds(2),
+                    Duration.ofSeconds(1),
+                    Duration.ofSeconds(30),
+                    64 * 1024,
+                    4 * 1024 * 1024);
+
+    /**
+     * Returns the settings of a daemon.
+     *
+     * @return settings
+     */
+    public static UpstreamSettings defaults() {
+        return DEFAULTS;
+    }
+}
