Load the manifest, publish and load the configuration, code peer messages

Cause: the whole path needs a checked manifest, an accepted generation and a codec for messages between daemons.

Change: ManifestLoader (JSON or YAML, published JSON Schema, semantic checks, every fault with position and remedy), ManifestWriter (round trip), ConfigurationStore (content-addressed chunks, compare-and-set root, lost answers settled by the writer token, races told), ConfigurationService (thin: watches the store and rereads every 2 s), PeerCodec with typed results and checked counts in Fields. examples/two-fleets.yaml uses the same names in both fleets for different things.

--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/config/ConfigurationStore.java
@@ -0,0 +1,159 @@
+package org.amaranthpick.core.config;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.amaranthpick.core.manifest.Manifest;
+import org.amaranthpick.core.store.ListResult;
+import org.amaranthpick.core.store.ObjectStore;
+import org.amaranthpick.core.store.ReadResult;
+import org.amaranthpick.core.store.StoredObject;
+import org.amaranthpick.core.store.WriterTokens;
+import org.amaranthpick.core.time.Scheduler;
+
+/**
+ * Configuration in the platform's object API: one root under compare-and-set, and content-addressed
+ * chunks. Accepted means that the write of the root is known to have succeeded. Thread-safe.
+ */
+public final class ConfigurationStore {
+    /** Key of the root. */
+    public static final String ROOT_KEY = "config/root";
+
+    /** Start of the keys of chunks. */
+    public static final String CHUNK_PREFIX = "config/chunk/";
+
+    /** Time in which a publication must be settled. */
+    public static final Duration PUBLISH_TIMEOUT = Duration.ofSeconds(20);
+
+    private final ObjectStore mStore;
+    private final Scheduler mScheduler;
+    private final WriterTokens mTokens;
+
+    /**
+     * Creates the facade.
+     *
+     * @param store object API
+     * @param scheduler timers of retries
+     * @param tokens source of writer tokens of this process
+     */
+    public ConfigurationStore(ObjectStore store, Scheduler scheduler, WriterTokens tokens) {
+        mStore = store;
+        mScheduler = scheduler;
+        mTokens = tokens;
+    }
+
+    /**
+     * Publishes a manifest as the next generation.
+     *
+     * @param manifest checked manifest
+     * @param expectGeneration generation that must be in place, 0 for none; empty to take any
+     * @return result; completes normally within about {@link #PUBLISH_TIMEOUT}
+     */
+    public CompletionStage<PublishResult> publish(
+            Manifest manifest, OptionalLong expectGeneration) {
+        ManifestChunks content;
+        try {
+            content = ManifestChunks.split(manifest);
+        } catch (IllegalArgumentException e) {
+            return CompletableFuture.completedFuture(new PublishResult.TooLarge(e.getMessage()));
+        }
+        return new Publication(this, content, expectGeneration, mTokens.next()).run();
+    }
+
+    /**
+     * Reads the root.
+     *
+     * @return result; completes normally
+     */
+    public CompletionStage<RootResult> readRoot() {
+        return mStore.read(ROOT_KEY).thenApply(ConfigurationStore::toRoot);
+    }
+
+    /**
+     * Reads one chunk.
+     *
+     * @param digest digest of the chunk
+     * @return bytes that match the digest, empty if the store does not give them
+     */
+    public CompletionStage<Optional<byte[]>> readChunk(String digest) {
+        return mStore.read(CHUNK_PREFIX + digest)
+                .thenApply(
+                        result ->
+                                result instanceof ReadResult.Found found
+                                        ? Optional.of(found.object().value())
+                                                .filter(b -> Sha256.hex(b).equals(digest))
+                                        : Optional.empty());
+    }
+
+    /**
+     * Loads the accepted configuration whole.
+     *
+     * @return result; completes normally
+     */
+    public CompletionStage<LoadResult> load() {
+        return readRoot().thenCompose(this::loadRoot);
+    }
+
+    ObjectStore store() {
+        return mStore;
+    }
+
+    Scheduler scheduler() {
+        return mScheduler;
+    }
+
+    private CompletionStage<LoadResult> loadRoot(RootResult result) {
+        if (result instanceof RootResult.Unavailable unavailable) {
+            return done(new LoadResult.Unavailable(unavailable.reason()));
+        }
+        Optional<ConfigurationRoot> root = ((RootResult.Read) result).root();
+        if (root.isEmpty()) {
+            return done(new LoadResult.Nothing());
+        }
+        return mStore.list(CHUNK_PREFIX).thenApply(list -> assemble(root.get(), list));
+    }
+
+    private static LoadResult assemble(ConfigurationRoot root, ListResult list) {
+        if (list instanceof ListResult.Unavailable unavailable) {
+            return new LoadResult.Unavailable(unavailable.reason());
+        }
+        Map<String, byte[]> chunks = new TreeMap<>();
+        for (StoredObject object : ((ListResult.Listed) list).objects()) {
+            chunks.put(object.key().substring(CHUNK_PREFIX.length()), object.value());
+        }
+        if (!chunks.keySet().containsAll(root.chunks())) {
+            return new LoadResult.Unavailable("chunks lack; the root has moved on, load again");
+        }
+        chunks.keySet().retainAll(root.chunks());
+        try {
+            Manifest manifest = ManifestChunks.join(chunks.values());
+            return new LoadResult.Loaded(
+                    new Configuration(root.generation(), root.digest(), manifest));
+        } catch (IllegalArgumentException e) {
+            return new LoadResult.Unavailable(e.getMessage());
+        }
+    }
+
+    private static RootResult toRoot(ReadResult result) {
+        if (result instanceof ReadResult.Found found) {
+            try {
+                ConfigurationRoot root = ConfigurationRoot.fromBytes(found.object().value());
+                return new RootResult.Read(Optional.of(root), found.object().version());
+            } catch (IllegalArgumentException e) {
+                return new RootResult.Unavailable(e.getMessage());
+            }
+        }
+        if (result instanceof ReadResult.Missing) {
+            return new RootResult.Read(Optional.empty(), 0);
+        }
+        return new RootResult.Unavailable(result.toString());
+    }
+
+    private static <T> CompletionStage<T> done(T result) {
+        return CompletableFuture.completedFuture(result);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/manifest/ManifestFault.java
@@ -0,0 +1,39 @@
+package org.amaranthpick.core.manifest;
+
+/**
+ * Fault of a manifest.
+ *
+ * @param line line of the faulty value, from 1
+ * @param column column of the faulty value, from 1
+ * @param path JSON pointer of the faulty value, empty for the whole document
+ * @param kind kind of the fault
+ * @param message what is wrong
+ * @param remedy how to mend it
+ */
+public record ManifestFault(
+        int line, int column, String path, Kind kind, String message, String remedy) {
+
+    /** Kinds of faults. */
+    public enum Kind {
+        SYNTAX,
+        SCHEMA,
+        NAME,
+        DUPLICATE,
+        REFERENCE,
+        LAYERS,
+        CAPACITY,
+        CREDENTIAL,
+        LINK,
+        VALUE
+    }
+
+    /**
+     * Writes the fault as one line.
+     *
+     * @return {@code line:column path kind: message; remedy}
+     */
+    public String text() {
+        String place = path.isEmpty() ? "/" : path;
+        return line + ":" + column + " " + place + " " + kind + ": " + message + "; " + remedy;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/amaranthpick/core/peer/PeerCodecTest.java
@@ -0,0 +1,97 @@
+package org.amaranthpick.core.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.amaranthpick.core.name.Identity;
+import org.amaranthpick.core.name.ResourceKind;
+import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+class PeerCodecTest {
+    private static final Identity HOST = new Identity("f", ResourceKind.HOST, "h-1");
+
+    private final PeerCodec mCodec = new PeerCodec(List.of(new NoteCodec()));
+
+    @Test
+    void roundTrips() {
+        Note note = new Note(HOST, List.of("a", "b"));
+        assertEquals(new DecodedMessage.Message(note), mCodec.decode(mCodec.encode(note)));
+    }
+
+    @Test
+    void skipsTagsOfLaterVersions() throws IOException {
+        assertInstanceOf(DecodedMessage.Skipped.class, mCodec.decode(envelope(1, 77, 0)));
+        assertInstanceOf(DecodedMessage.Skipped.class, mCodec.decode(envelope(2, 1, 0)));
+        assertEquals(2, mCodec.skipped());
+    }
+
+    @Test
+    void refusesTwoCodecsOfOneTag() {
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> new PeerCodec(List.of(new NoteCodec(), new NoteCodec())));
+    }
+
+    @Property(tries = 2000, seed = "4711")
+    void neverThrowsOnAnyBytes(@ForAll byte[] bytes) {
+        assertNotNull(mCodec.decode(bytes));
+    }
+
+    @Property(tries = 2000, seed = "4712")
+    void neverThrowsOnDamagedMessages(
+            @ForAll @IntRange(max = 200) int position, @ForAll byte value) {
+        byte[] bytes = mCodec.encode(new Note(HOST, List.of("text", "more")));
+        bytes[position % bytes.length] = value;
+        assertNotNull(mCodec.decode(bytes));
+        assertNotNull(mCodec.decode(java.util.Arrays.copyOf(bytes, position % bytes.length)));
+    }
+
+    private static byte[] envelope(int version, int tag, int field) throws IOException {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packArrayHeader(3).packInt(version).packInt(tag).packInt(field);
+            return packer.toByteArray();
+        }
+    }
+
+    private record Note(Identity host, List<String> lines) implements PeerMessage {
+        @Override
+        public int tag() {
+            return 1;
+        }
+    }
+
+    private static final class NoteCodec implements MessageCodec<Note> {
+        @Override
+        public int tag() {
+            return 1;
+        }
+
+        @Override
+        public void pack(Note note, MessagePacker packer) throws IOException {
+            packer.packArrayHeader(2);
+            Fields.packIdentity(note.host(), packer);
+            Fields.packList(note.lines(), packer, (line, target) -> target.packString(line));
+        }
+
+        @Override
+        public Note unpack(MessageUnpacker unpacker) throws IOException {
+            int extra = Fields.begin(unpacker, 2);
+            Identity host = Fields.unpackIdentity(unpacker);
+            List<String> lines =
+                    Fields.unpackList(unpacker, 10, source -> Fields.unpackText(source, 100));
+            Fields.skip(unpacker, extra);
+            return new Note(host, lines);
+        }
+    }
+}
