Add placement service with leases per control shard

Cause: control work needs one owner per failure domain, without a coordination service. Change: PlacementService (a Controller) steps one ControlShard per domain; LeaseKeeper takes, renews and releases the lease object by compare-and-set, settles lost answers by the writer token, believes shorter than others wait. Conclusion: the facade can be wired now: new PlacementService(new PlacementContext(...)).

--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/placement/LeaseRecord.java
@@ -0,0 +1,17 @@
+package org.amaranthpick.core.placement;
+
+/**
+ * Lease as kept in the store.
+ *
+ * @param holder host key of the holder
+ * @param bootNonce boot nonce of the holding process
+ * @param fence fencing number
+ * @param durationMs time for which others honour the lease after they saw this version
+ * @param released true if the holder gave it up
+ */
+record LeaseRecord(String holder, long bootNonce, long fence, long durationMs, boolean released) {
+
+    LeaseRecord asReleased() {
+        return new LeaseRecord(holder, bootNonce, fence, durationMs, true);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/placement/PlacementService.java
@@ -0,0 +1,80 @@
+package org.amaranthpick.core.placement;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.amaranthpick.core.board.Controller;
+import org.amaranthpick.core.config.Configuration;
+import org.amaranthpick.core.manifest.DomainSpec;
+import org.amaranthpick.core.name.Identity;
+
+/**
+ * Placement of one daemon: for each failure domain that it is a candidate for, it looks after the
+ * control shard's lease and, while it holds it, plans and orders.
+ */
+public final class PlacementService implements Controller, AutoCloseable {
+    private static final Duration PERIOD = Duration.ofMillis(500);
+
+    private final PlacementContext mContext;
+    private final Candidates mCandidates;
+    private final Map<Identity, ControlShard> mShards = new TreeMap<>();
+    private boolean mClosed;
+
+    /**
+     * Creates the service.
+     *
+     * @param context what placement works with
+     */
+    public PlacementService(PlacementContext context) {
+        mContext = context;
+        mCandidates = new Candidates(context.members());
+    }
+
+    @Override
+    public String name() {
+        return "placement";
+    }
+
+    @Override
+    public Duration period() {
+        return PERIOD;
+    }
+
+    @Override
+    public synchronized void step() {
+        Optional<Configuration> configuration = mContext.configuration().current();
+        if (mClosed || configuration.isEmpty()) {
+            return;
+        }
+        for (DomainSpec domain : configuration.get().manifest().domains()) {
+            Optional<Integer> rank = mCandidates.rank(configuration.get(), domain);
+            ControlShard shard = mShards.get(domain.id());
+            if (shard == null && rank.isPresent()) {
+                shard = new ControlShard(domain.id(), mContext);
+                mShards.put(domain.id(), shard);
+            }
+            if (shard != null) {
+                shard.step(configuration.get(), rank);
+            }
+        }
+    }
+
+    /**
+     * Returns the leases that this daemon holds at this moment.
+     *
+     * @return lease by failure domain
+     */
+    public synchronized Map<Identity, Lease> leases() {
+        Map<Identity, Lease> leases = new TreeMap<>();
+        mShards.forEach((id, shard) -> shard.lease().ifPresent(lease -> leases.put(id, lease)));
+        return leases;
+    }
+
+    /** Gives up every lease and stops ordering. */
+    @Override
+    public synchronized void close() {
+        mClosed = true;
+        mShards.values().forEach(ControlShard::close);
+    }
+}
