--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/placement/ModelNeed.java
@@ -0,0 +1,26 @@
+package org.amaranthpick.core.placement;
+
+import java.util.List;
+import org.amaranthpick.core.manifest.AdapterSpec;
+import org.amaranthpick.core.manifest.ModelVersionSpec;
+
+/**
+ * What is wanted of one model version.
+ *
+ * @param model the model version
+ * @param tokensPerSecond demand in generated tokens per second over all domains
+ * @param minChains working chains kept, 1 or more
+ * @param adapters adapters wanted, most used first
+ * @param retired true if no pipeline uses it any more: what is held stays, nothing is added
+ */
+public record ModelNeed(
+        ModelVersionSpec model,
+        double tokensPerSecond,
+        int minChains,
+        List<AdapterSpec> adapters,
+        boolean retired) {
+    /** Copies the list. */
+    public ModelNeed {
+        adapters = List.copyOf(adapters);
+    }
+}
