--- a/tools/src/main/java/org/amaranthpick/tools/SettingsOptions.java
+++ b/tools/src/main/java/org/amaranthpick/tools/SettingsOptions.java
@@ -48,7 +48,9 @@
     @Option(name = "--operator-token", description = "Credential of operators.")
     private String mOperatorToken;
 
-    @Option(name = "--seeds", description = "Daemons to ask first: HOST@IP:PORT, separated by commas.")
+    @Option(
+            name = "--seeds",
+            description = "Daemons to ask first: HOST@IP:PORT, separated by commas.")
     private String mSeeds;
 
     @Option(name = "--max-body-bytes", description = "Largest request body in bytes.")
@@ -66,13 +68,19 @@
     @Option(name = "--max-answer-tokens", description = "Largest max_tokens.")
     private String mMaxAnswerTokens;
 
-    @Option(name = "--drain-grace", description = "Longest wait for requests in progress at shutdown, such as PT10M.")
+    @Option(
+            name = "--drain-grace",
+            description = "Longest wait for requests in progress at shutdown, such as PT10M.")
     private String mDrainGrace;
 
-    @Option(name = "--balancer-lag", description = "Time the balancer takes to stop sending, such as PT5S.")
+    @Option(
+            name = "--balancer-lag",
+            description = "Time the balancer takes to stop sending, such as PT5S.")
     private String mBalancerLag;
 
-    @Option(name = "--store-calls-per-second", description = "This daemon's share of the store's rate.")
+    @Option(
+            name = "--store-calls-per-second",
+            description = "This daemon's share of the store's rate.")
     private String mStoreCallsPerSecond;
 
     @Option(name = "--io-threads", description = "I/O threads.")
