Run each request as a state machine and claim keys in journals

Cause: the router needs the path from admission over claim and chain to the caller, and claims that hold over all daemons.

--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/claim/PendingOperation.java
@@ -0,0 +1,57 @@
+package org.amaranthpick.core.claim;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Operation that waits for its shard. Confined to the shard's event queue. */
+final class PendingOperation {
+    private final ClaimOperation mOperation;
+    private final long mExpiresNs;
+    private final long mCommitByNs;
+    private final CompletableFuture<ShardReply> mReply = new CompletableFuture<>();
+    private boolean mMayBeStored;
+
+    /**
+     * Creates a waiting operation.
+     *
+     * @param operation operation
+     * @param expiresNs monotonic time at which it is given up
+     * @param commitByNs monotonic time by which it is to be written, so that others may share the
+     *     write
+     */
+    PendingOperation(ClaimOperation operation, long expiresNs, long commitByNs) {
+        mOperation = operation;
+        mExpiresNs = expiresNs;
+        mCommitByNs = commitByNs;
+    }
+
+    ClaimOperation operation() {
+        return mOperation;
+    }
+
+    long expiresNs() {
+        return mExpiresNs;
+    }
+
+    long commitByNs() {
+        return mCommitByNs;
+    }
+
+    CompletableFuture<ShardReply> reply() {
+        return mReply;
+    }
+
+    /** Notes that a write with this operation has an unknown end. */
+    void onUnknownWrite() {
+        mMayBeStored = true;
+    }
+
+    /**
+     * Gives the operation up.
+     *
+     * @param reason what was seen
+     */
+    void giveUp(String reason) {
+        mReply.complete(
+                mMayBeStored ? ShardReply.unavailable(reason) : ShardReply.notStored(reason));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/request/Exchange.java
@@ -0,0 +1,442 @@
+package org.amaranthpick.core.request;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthpick.core.admit.AdmissionDecision;
+import org.amaranthpick.core.admit.AdmissionRequest;
+import org.amaranthpick.core.admit.Permit;
+import org.amaranthpick.core.claim.ClaimAnswer;
+import org.amaranthpick.core.claim.ClaimKey;
+import org.amaranthpick.core.claim.ClaimResult;
+import org.amaranthpick.core.claim.ClaimTicket;
+import org.amaranthpick.core.explain.DecisionKind;
+import org.amaranthpick.core.invariant.Invariant;
+import org.amaranthpick.core.name.Identity;
+import org.amaranthpick.core.time.Cancellable;
+import org.amaranthpick.core.time.SerialQueue;
+
+/**
+ * Life of one request up to its outcome: admission, claim, attempts with retries, outcome. Every
+ * method but the handle's runs on the request's event queue.
+ */
+abstract class Exchange implements RequestHandle {
+    private final RouterParts mParts;
+    private final RequestSettings mSettings;
+    private final ExchangeOwner mOwner;
+    private final ExchangeTerms mTerms;
+    private final SerialQueue mQueue;
+    private final AttemptHistory mHistory = new AttemptHistory();
+    private final Set<Identity> mExcluded = new HashSet<>(1);
+    private Phase mPhase = new Phase.Fresh();
+    private Cancellable mAdmission = () -> {};
+    private Cancellable mDeadlineTimer = () -> {};
+    private Optional<Permit> mPermit = Optional.empty();
+    private Optional<ClaimTicket> mTicket = Optional.empty();
+
+    Exchange(ExchangeOwner owner, ExchangeTerms terms) {
+        mParts = owner.parts();
+        mSettings = owner.settings();
+        mOwner = owner;
+        mTerms = terms;
+        mQueue = new SerialQueue(this::onEventFailure);
+    }
+
+    /**
+     * Describes the request to admission.
+     *
+     * @return what is asked for
+     */
+    abstract AdmissionRequest admissionRequest();
+
+    /**
+     * Returns the digest by which a repeat with another body is told apart.
+     *
+     * @return digest
+     */
+    abstract String bodyDigest();
+
+    /** Starts the next attempt. */
+    abstract void startAttempt();
+
+    /** Stops the attempt in progress, if any; its late events are ignored. */
+    abstract void stopAttempt();
+
+    /**
+     * Tells the caller the outcome.
+     *
+     * @param outcome the outcome
+     */
+    abstract void deliver(Outcome outcome);
+
+    /**
+     * Tells the caller the kept answer of an earlier request.
+     *
+     * @param answer kept answer
+     */
+    abstract void deliverKept(ClaimAnswer answer);
+
+    /**
+     * Returns the answer to keep for repeats.
+     *
+     * @return answer, empty if there is none or it is too long
+     */
+    abstract Optional<ClaimAnswer> answerToKeep();
+
+    /**
+     * Counts what the answer used.
+     *
+     * @return tokens, prompt included
+     */
+    abstract int tokensUsed();
+
+    /**
+     * Counts the tokens that the caller has got.
+     *
+     * @return tokens emitted
+     */
+    abstract int tokensEmitted();
+
+    /** Starts the life. */
+    final void start() {
+        mQueue.post(this::admit);
+    }
+
+    @Override
+    public void cancel() {
+        mQueue.post(
+                () -> giveUp(RefusalReason.CANCELLED, "the caller went away", Optional.empty()));
+    }
+
+    /**
+     * Ends the request because this host stops now.
+     *
+     * @param reason why
+     */
+    final void interrupt(String reason) {
+        mQueue.post(
+                () -> giveUp(RefusalReason.LEAVING, reason, Optional.of(mSettings.retryAfter())));
+    }
+
+    final RouterParts parts() {
+        return mParts;
+    }
+
+    final RequestSettings settings() {
+        return mSettings;
+    }
+
+    final FrameCounters frames() {
+        return mOwner.frames();
+    }
+
+    final ExchangeTerms terms() {
+        return mTerms;
+    }
+
+    final AttemptHistory history() {
+        return mHistory;
+    }
+
+    final Set<Identity> excluded() {
+        return mExcluded;
+    }
+
+    final boolean isRunning() {
+        return mPhase instanceof Phase.Running;
+    }
+
+    final boolean hasEnded() {
+        return mPhase instanceof Phase.Ended;
+    }
+
+    /**
+     * Tells whether a further attempt may follow one that may have run.
+     *
+     * @return true for idempotent requests
+     */
+    final boolean mayRepeat() {
+        return mTerms.idempotent();
+    }
+
+    final void post(Runnable event) {
+        mQueue.post(event);
+    }
+
+    final void record(DecisionKind kind, String text) {
+        mParts.decisions().record(kind, mTerms.requestId(), text);
+    }
+
+    final Optional<Duration> timeLeft() {
+        Instant now = mParts.scheduler().instant();
+        return mTerms.deadline().map(deadline -> Duration.between(now, deadline));
+    }
+
+    /**
+     * Starts an attempt in the history.
+     *
+     * @return its number
+     */
+    final int beginAttempt() {
+        mParts.invariants()
+                .check(
+                        Invariant.AT_MOST_ONCE,
+                        mayRepeat() || !mHistory.mayHaveRun(),
+                        "%s starts another attempt after %s",
+                        mTerms.requestId(),
+                        mHistory);
+        return mHistory.start();
+    }
+
+    /**
+     * Decides what follows a failed attempt or a missing chain.
+     *
+     * @param reason what was seen
+     * @param retryAfter when the upstream said to come back, if it did
+     * @param giveUpAs reason told if the request did not run and is given up
+     */
+    final void retryOrGiveUp(String reason, Optional<Duration> retryAfter, RefusalReason giveUpAs) {
+        if (!mayRepeat() && mHistory.mayHaveRun()) {
+            record(DecisionKind.RETRY, "none: it must not run twice and may have run");
+            giveUp(giveUpAs, reason, Optional.empty());
+            return;
+        }
+        int attempt = Math.max(1, mHistory.size());
+        Optional<Duration> wait = mParts.retries().next(mTerms.requestId(), attempt, timeLeft());
+        if (wait.isEmpty() || endsBefore(wait.get())) {
+            record(DecisionKind.RETRY, "none after attempt " + attempt + ": budget or deadline");
+            giveUp(giveUpAs, reason, retryAfter.or(() -> Optional.of(mSettings.retryAfter())));
+            return;
+        }
+        record(
+                DecisionKind.RETRY,
+                "attempt follows in " + wait.get().toMillis() + " ms: " + reason);
+        mPhase =
+                new Phase.BackingOff(
+                        mParts.scheduler().schedule(wait.get(), () -> post(this::resumeAfterWait)));
+    }
+
+    /**
+     * Ends the request without a whole answer, told as it truly is.
+     *
+     * @param reason reason if it did not run
+     * @param message what happened
+     * @param retryAfter when to come back, where that helps
+     */
+    final void giveUp(RefusalReason reason, String message, Optional<Duration> retryAfter) {
+        if (hasEnded()) {
+            return;
+        }
+        stopAttempt();
+        if (mHistory.mayHaveRun()) {
+            finish(Outcomes.interrupted(message, mayRepeat(), tokensEmitted()));
+        } else {
+            finish(Outcomes.notRun(reason, message, retryAfter));
+        }
+    }
+
+    /**
+     * Tells the outcome and frees what the request holds.
+     *
+     * @param outcome the outcome
+     */
+    final void finish(Outcome outcome) {
+        if (!enterEnd(outcome)) {
+            return;
+        }
+        settleClaim(outcome);
+        record(DecisionKind.OUTCOME, describe(outcome));
+        try {
+            deliver(outcome);
+        } finally {
+            mOwner.onEnded(this);
+        }
+    }
+
+    private void admit() {
+        mParts.retries().onRequest();
+        timeLeft().ifPresent(this::armDeadline);
+        mPhase = new Phase.Admitting();
+        mAdmission =
+                mParts.admission()
+                        .request(admissionRequest(), decision -> post(() -> onAdmission(decision)));
+    }
+
+    private void armDeadline(Duration left) {
+        mDeadlineTimer = mParts.scheduler().schedule(left, () -> post(this::onDeadline));
+    }
+
+    private void onDeadline() {
+        giveUp(RefusalReason.DEADLINE_UNREACHABLE, "the deadline passed", Optional.empty());
+    }
+
+    private void onAdmission(AdmissionDecision decision) {
+        if (decision instanceof AdmissionDecision.Admitted admitted) {
+            onAdmitted(admitted.permit());
+        } else if (decision instanceof AdmissionDecision.Refused refused && !hasEnded()) {
+            record(DecisionKind.ADMISSION, "refused: " + refused.message());
+            finish(Outcomes.notRun(refused.reason(), refused.message(), refused.retryAfter()));
+        }
+    }
+
+    private void onAdmitted(Permit permit) {
+        if (!(mPhase instanceof Phase.Admitting)) {
+            permit.close();
+            return;
+        }
+        mPermit = Optional.of(permit);
+        record(DecisionKind.ADMISSION, "admitted");
+        if (mTerms.idempotent() || mTerms.idempotencyKey().isEmpty()) {
+            run();
+            return;
+        }
+        mPhase = new Phase.Claiming();
+        ClaimKey key = new ClaimKey(mTerms.workspace().id(), mTerms.idempotencyKey().get());
+        var unused =
+                mParts.claims()
+                        .claim(key, mTerms.requestId(), bodyDigest())
+                        .whenComplete((result, error) -> post(() -> onClaim(result, error)));
+    }
+
+    private void onClaim(ClaimResult result, Throwable error) {
+        ClaimResult known = error == null ? result : new ClaimResult.Unavailable(error.toString());
+        if (known instanceof ClaimResult.Granted granted) {
+            onGranted(granted.ticket());
+        } else if (!hasEnded()) {
+            record(DecisionKind.CLAIM, "not granted: " + known);
+            onNotGranted(known);
+        }
+    }
+
+    private void onGranted(ClaimTicket ticket) {
+        if (hasEnded()) {
+            mOwner.settle(mParts.claims().release(ticket));
+            return;
+        }
+        mTicket = Optional.of(ticket);
+        record(DecisionKind.CLAIM, "granted");
+        run();
+    }
+
+    private void onNotGranted(ClaimResult result) {
+        Optional<Duration> later = Optional.of(mSettings.retryAfter());
+        if (result instanceof ClaimResult.Kept kept) {
+            finishKept(kept.answer());
+        } else if (result instanceof ClaimResult.InProgress) {
+            refuse(RefusalReason.KEY_IN_PROGRESS, "a request with this key is in progress", later);
+        } else if (result instanceof ClaimResult.Reused) {
+            refuse(
+                    RefusalReason.KEY_REUSED,
+                    "this key was used with another request body",
+                    Optional.empty());
+        } else if (result instanceof ClaimResult.Unavailable unavailable) {
+            refuse(
+                    RefusalReason.CLAIM_UNAVAILABLE,
+                    "the key cannot be claimed now: " + unavailable.reason(),
+                    later);
+        } else {
+            refuse(
+                    RefusalReason.KEY_OUTCOME_UNKNOWN,
+                    "an earlier request with this key may have run",
+                    Optional.empty());
+        }
+    }
+
+    private void refuse(RefusalReason reason, String message, Optional<Duration> retryAfter) {
+        finish(Outcomes.notRun(reason, message, retryAfter));
+    }
+
+    private void finishKept(ClaimAnswer answer) {
+        if (!enterEnd(new Outcome.Replayed("", ""))) {
+            return;
+        }
+        record(DecisionKind.OUTCOME, "kept answer of an earlier request");
+        try {
+            deliverKept(answer);
+        } finally {
+            mOwner.onEnded(this);
+        }
+    }
+
+    private void resumeAfterWait() {
+        if (mPhase instanceof Phase.BackingOff) {
+            run();
+        }
+    }
+
+    private void run() {
+        mPhase = new Phase.Running();
+        startAttempt();
+    }
+
+    private boolean endsBefore(Duration wait) {
+        return timeLeft().map(left -> left.compareTo(wait) <= 0).orElse(false);
+    }
+
+    private boolean enterEnd(Outcome outcome) {
+        String id = mTerms.requestId();
+        if (!mParts.invariants()
+                .check(Invariant.ONE_OUTCOME, !hasEnded(), "%s has another outcome", id)) {
+            return false;
+        }
+        mParts.invariants()
+                .check(
+                        Invariant.NOT_RUN_IS_TRUE,
+                        !(outcome instanceof Outcome.NotRun) || !mHistory.mayHaveRun(),
+                        "%s is told as not run after %s",
+                        id,
+                        mHistory);
+        if (mPhase instanceof Phase.BackingOff waiting) {
+            waiting.timer().cancel();
+        }
+        mPhase = new Phase.Ended();
+        mAdmission.cancel();
+        mDeadlineTimer.cancel();
+        mPermit.ifPresent(this::free);
+        return true;
+    }
+
+    private void free(Permit permit) {
+        permit.used(tokensUsed());
+        permit.close();
+    }
+
+    private void settleClaim(Outcome outcome) {
+        if (mTicket.isEmpty()) {
+            return;
+        }
+        ClaimTicket ticket = mTicket.get();
+        Optional<ClaimAnswer> answer =
+                outcome instanceof Outcome.Answered ? answerToKeep() : Optional.empty();
+        if (outcome instanceof Outcome.NotRun) {
+            mOwner.settle(mParts.claims().release(ticket));
+        } else if (answer.isPresent()) {
+            mOwner.settle(mParts.claims().done(ticket, answer.get()));
+        } else {
+            mOwner.settle(mParts.claims().lost(ticket));
+        }
+    }
+
+    private void onEventFailure(RuntimeException e) {
+        String message = "internal failure: " + e;
+        post(() -> giveUp(RefusalReason.UPSTREAM_REFUSED, message, Optional.empty()));
+    }
+
+    private static String describe(Outcome outcome) {
+        if (outcome instanceof Outcome.Answered answered) {
+            return "answered with " + answered.tokens() + " tokens, " + answered.finishReason();
+        }
+        if (outcome instanceof Outcome.NotRun notRun) {
+            return "not run, " + notRun.reason().label() + ": " + notRun.message();
+        }
+        if (outcome instanceof Outcome.Interrupted interrupted) {
+            return "interrupted after "
+                    + interrupted.tokens()
+                    + " tokens: "
+                    + interrupted.message();
+        }
+        return "kept answer of an earlier request";
+    }
+}
