--- /dev/null
+++ b/tools/src/main/java/org/amaranthpick/tools/client/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP client of the commands. */
+package org.amaranthpick.tools.client;
