Add the membership: probes, relays between domains, leaving told at once

Cause: daemons must know who lives and who leaves at a cost that does not grow with their number, also while domains are cut off.

--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/member/MemberCodecs.java
@@ -0,0 +1,230 @@
+package org.amaranthpick.core.member;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.amaranthpick.core.member.MemberMessage.Ack;
+import org.amaranthpick.core.member.MemberMessage.Beat;
+import org.amaranthpick.core.member.MemberMessage.Heartbeat;
+import org.amaranthpick.core.member.MemberMessage.Join;
+import org.amaranthpick.core.member.MemberMessage.News;
+import org.amaranthpick.core.member.MemberMessage.Ping;
+import org.amaranthpick.core.member.MemberMessage.ProbeReply;
+import org.amaranthpick.core.member.MemberMessage.ProbeRequest;
+import org.amaranthpick.core.member.MemberMessage.ReachReport;
+import org.amaranthpick.core.member.MemberMessage.Table;
+import org.amaranthpick.core.member.MemberMessage.TableRequest;
+import org.amaranthpick.core.member.MemberMessage.UrgentNews;
+import org.amaranthpick.core.name.Identity;
+import org.amaranthpick.core.peer.Fields;
+import org.amaranthpick.core.peer.MessageCodec;
+import org.amaranthpick.core.peer.RecordCodec;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Codecs of the messages of the membership. */
+public final class MemberCodecs {
+    private static final int MAX_MEMBERS = 20_000;
+    private static final int MAX_DOMAINS = 1_000;
+    private static final int MAX_TEXT_BYTES = 400;
+
+    /** States by their number on the wire; new ones go to the end. */
+    private static final List<MemberState> STATES =
+            List.of(MemberState.ALIVE, MemberState.SUSPECT, MemberState.LEAVING, MemberState.DEAD);
+
+    private MemberCodecs() {}
+
+    /**
+     * Returns the codecs.
+     *
+     * @return one codec per message type
+     */
+    public static List<MessageCodec<?>> all() {
+        return List.of(
+                new RecordCodec<Ping>(
+                        MemberMessage.TAG_PING,
+                        2,
+                        (m, p) -> packHeartbeat(p.packLong(m.sequence()), m.heartbeat()),
+                        u -> new Ping(u.unpackLong(), heartbeat(u))),
+                new RecordCodec<Ack>(
+                        MemberMessage.TAG_ACK,
+                        2,
+                        (m, p) -> packHeartbeat(p.packLong(m.sequence()), m.heartbeat()),
+                        u -> new Ack(u.unpackLong(), heartbeat(u))),
+                new RecordCodec<ProbeRequest>(
+                        MemberMessage.TAG_PROBE_REQUEST,
+                        2,
+                        (m, p) -> Fields.packIdentity(m.target(), p.packLong(m.sequence())),
+                        u -> new ProbeRequest(u.unpackLong(), Fields.unpackIdentity(u))),
+                new RecordCodec<ProbeReply>(
+                        MemberMessage.TAG_PROBE_REPLY,
+                        2,
+                        (m, p) -> Fields.packIdentity(m.target(), p.packLong(m.sequence())),
+                        u -> new ProbeReply(u.unpackLong(), Fields.unpackIdentity(u))),
+                new RecordCodec<Join>(
+                        MemberMessage.TAG_JOIN,
+                        1,
+                        (m, p) -> packMember(m.member(), p),
+                        u -> new Join(member(u))),
+                new RecordCodec<TableRequest>(
+                        MemberMessage.TAG_TABLE_REQUEST,
+                        1,
+                        (m, p) -> packDigests(m.digests(), p),
+                        u -> new TableRequest(digests(u))),
+                new RecordCodec<Table>(
+                        MemberMessage.TAG_TABLE, 3, MemberCodecs::packTable, MemberCodecs::table),
+                new RecordCodec<Beat>(
+                        MemberMessage.TAG_BEAT, 2, MemberCodecs::packBeat, MemberCodecs::beat),
+                new RecordCodec<UrgentNews>(
+                        MemberMessage.TAG_NEWS,
+                        1,
+                        (m, p) -> packNews(m.news(), p),
+                        u -> new UrgentNews(news(u))));
+    }
+
+    private static void packBeat(Beat beat, MessagePacker packer) throws IOException {
+        Fields.packIdentity(beat.domain(), packer);
+        packHeartbeat(packer, beat.heartbeat());
+    }
+
+    private static Beat beat(MessageUnpacker unpacker) throws IOException {
+        return new Beat(Fields.unpackIdentity(unpacker), heartbeat(unpacker));
+    }
+
+    private static void packTable(Table table, MessagePacker packer) throws IOException {
+        Fields.packIdentity(table.domain(), packer);
+        Fields.packList(table.members(), packer, MemberCodecs::packMember);
+        Fields.packList(table.notices(), packer, MemberCodecs::packNotice);
+    }
+
+    private static Table table(MessageUnpacker unpacker) throws IOException {
+        return new Table(
+                Fields.unpackIdentity(unpacker),
+                Fields.unpackList(unpacker, MAX_MEMBERS, MemberCodecs::member),
+                Fields.unpackList(unpacker, MAX_MEMBERS, MemberCodecs::notice));
+    }
+
+    private static void packHeartbeat(MessagePacker packer, Heartbeat heartbeat)
+            throws IOException {
+        packer.packArrayHeader(3).packLong(heartbeat.generation());
+        packer.packLong(heartbeat.tableDigest());
+        packNews(heartbeat.news(), packer);
+    }
+
+    private static Heartbeat heartbeat(MessageUnpacker unpacker) throws IOException {
+        int extra = Fields.begin(unpacker, 3);
+        Heartbeat heartbeat =
+                new Heartbeat(unpacker.unpackLong(), unpacker.unpackLong(), news(unpacker));
+        Fields.skip(unpacker, extra);
+        return heartbeat;
+    }
+
+    private static void packNews(News news, MessagePacker packer) throws IOException {
+        packer.packArrayHeader(3);
+        Fields.packList(news.members(), packer, MemberCodecs::packMember);
+        Fields.packList(news.notices(), packer, MemberCodecs::packNotice);
+        Fields.packList(news.reports(), packer, MemberCodecs::packReport);
+    }
+
+    private static News news(MessageUnpacker unpacker) throws IOException {
+        int extra = Fields.begin(unpacker, 3);
+        News news =
+                new News(
+                        Fields.unpackList(unpacker, MAX_MEMBERS, MemberCodecs::member),
+                        Fields.unpackList(unpacker, MAX_MEMBERS, MemberCodecs::notice),
+                        Fields.unpackList(unpacker, MAX_MEMBERS, MemberCodecs::report));
+        Fields.skip(unpacker, extra);
+        return news;
+    }
+
+    private static void packMember(Member member, MessagePacker packer) throws IOException {
+        packer.packArrayHeader(7);
+        Fields.packIdentity(member.host(), packer);
+        packer.packString(member.address().ip()).packInt(member.address().port());
+        Fields.packIdentity(member.domain(), packer);
+        packer.packString(member.region()).packLong(member.incarnation());
+        packer.packInt(STATES.indexOf(member.state()));
+    }
+
+    private static Member member(MessageUnpacker unpacker) throws IOException {
+        int extra = Fields.begin(unpacker, 7);
+        Identity host = Fields.unpackIdentity(unpacker);
+        String ip = Fields.unpackText(unpacker, MAX_TEXT_BYTES);
+        PeerAddress address = new PeerAddress(ip, unpacker.unpackInt());
+        Identity domain = Fields.unpackIdentity(unpacker);
+        String region = Fields.unpackText(unpacker, MAX_TEXT_BYTES);
+        long incarnation = unpacker.unpackLong();
+        MemberState state = state(unpacker.unpackInt());
+        Fields.skip(unpacker, extra);
+        return new Member(host, address, domain, region, incarnation, state);
+    }
+
+    private static MemberState state(int number) {
+        if (number < 0 || number >= STATES.size()) {
+            throw new MessagePackException("unknown member state " + number);
+        }
+        return STATES.get(number);
+    }
+
+    private static void packNotice(LeavingNotice notice, MessagePacker packer) throws IOException {
+        packer.packArrayHeader(5);
+        Fields.packIdentity(notice.target(), packer);
+        Fields.packIdentity(notice.domain(), packer);
+        packer.packString(notice.bootId()).packBoolean(notice.leaving());
+        packer.packLong(notice.sequenceMs());
+    }
+
+    private static LeavingNotice notice(MessageUnpacker unpacker) throws IOException {
+        int extra = Fields.begin(unpacker, 5);
+        LeavingNotice notice =
+                new LeavingNotice(
+                        Fields.unpackIdentity(unpacker),
+                        Fields.unpackIdentity(unpacker),
+                        Fields.unpackText(unpacker, MAX_TEXT_BYTES),
+                        unpacker.unpackBoolean(),
+                        unpacker.unpackLong());
+        Fields.skip(unpacker, extra);
+        return notice;
+    }
+
+    private static void packReport(ReachReport report, MessagePacker packer) throws IOException {
+        packer.packArrayHeader(3);
+        Fields.packIdentity(report.reporter(), packer);
+        packer.packLong(report.sequence());
+        Fields.packList(report.unreachable(), packer, Fields::packIdentity);
+    }
+
+    private static ReachReport report(MessageUnpacker unpacker) throws IOException {
+        int extra = Fields.begin(unpacker, 3);
+        ReachReport report =
+                new ReachReport(
+                        Fields.unpackIdentity(unpacker),
+                        unpacker.unpackLong(),
+                        Fields.unpackList(unpacker, MAX_DOMAINS, Fields::unpackIdentity));
+        Fields.skip(unpacker, extra);
+        return report;
+    }
+
+    private static void packDigests(Map<Identity, Long> digests, MessagePacker packer)
+            throws IOException {
+        packer.packMapHeader(digests.size());
+        for (Map.Entry<Identity, Long> entry : digests.entrySet()) {
+            Fields.packIdentity(entry.getKey(), packer);
+            packer.packLong(entry.getValue());
+        }
+    }
+
+    private static Map<Identity, Long> digests(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackMapHeader();
+        if (count > MAX_DOMAINS) {
+            throw new MessagePackException(count + " domains, at most " + MAX_DOMAINS);
+        }
+        Map<Identity, Long> digests = new HashMap<>();
+        for (int i = 0; i < count; i++) {
+            digests.put(Fields.unpackIdentity(unpacker), unpacker.unpackLong());
+        }
+        return digests;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/member/MemberMessage.java
@@ -0,0 +1,209 @@
+package org.amaranthpick.core.member;
+
+import java.util.List;
+import java.util.Map;
+import org.amaranthpick.core.name.Identity;
+import org.amaranthpick.core.peer.PeerMessage;
+
+/** Messages of the membership. */
+public sealed interface MemberMessage extends PeerMessage {
+    int TAG_PING = 1;
+    int TAG_ACK = 2;
+    int TAG_PROBE_REQUEST = 3;
+    int TAG_PROBE_REPLY = 4;
+    int TAG_JOIN = 5;
+    int TAG_TABLE_REQUEST = 6;
+    int TAG_TABLE = 7;
+    int TAG_BEAT = 8;
+    int TAG_NEWS = 9;
+
+    /**
+     * Changes told to others.
+     *
+     * @param members records of daemons
+     * @param notices leaving notices
+     * @param reports which domains relays cannot reach
+     */
+    record News(List<Member> members, List<LeavingNotice> notices, List<ReachReport> reports) {
+        /** Nothing to tell. */
+        public static final News NONE = new News(List.of(), List.of(), List.of());
+
+        /** Copies the lists. */
+        public News {
+            members = List.copyOf(members);
+            notices = List.copyOf(notices);
+            reports = List.copyOf(reports);
+        }
+
+        /**
+         * Tells whether there is anything to tell.
+         *
+         * @return true if all lists are empty
+         */
+        public boolean isEmpty() {
+            return members.isEmpty() && notices.isEmpty() && reports.isEmpty();
+        }
+
+        /**
+         * Returns the part that tells of daemons, hosts and upstreams that leave or are back.
+         *
+         * @return news without other changes
+         */
+        public News leavingOnly() {
+            return new News(
+                    members.stream().filter(m -> m.state() == MemberState.LEAVING).toList(),
+                    notices,
+                    List.of());
+        }
+    }
+
+    /**
+     * Domains that one relay cannot reach.
+     *
+     * @param reporter relay
+     * @param sequence grows with each report of the relay
+     * @param unreachable domains not heard of in time
+     */
+    record ReachReport(Identity reporter, long sequence, List<Identity> unreachable) {
+        /** Copies the list. */
+        public ReachReport {
+            unreachable = List.copyOf(unreachable);
+        }
+    }
+
+    /**
+     * What every heartbeat carries.
+     *
+     * @param generation configuration generation in force at the sender
+     * @param tableDigest digest of the sender's table
+     * @param news changes
+     */
+    record Heartbeat(long generation, long tableDigest, News news) {}
+
+    /**
+     * Probe of a daemon of the same domain.
+     *
+     * @param sequence number of the probe
+     * @param heartbeat heartbeat of the sender
+     */
+    record Ping(long sequence, Heartbeat heartbeat) implements MemberMessage {
+        @Override
+        public int tag() {
+            return TAG_PING;
+        }
+    }
+
+    /**
+     * Answer to a ping.
+     *
+     * @param sequence number of the probe
+     * @param heartbeat heartbeat of the sender
+     */
+    record Ack(long sequence, Heartbeat heartbeat) implements MemberMessage {
+        @Override
+        public int tag() {
+            return TAG_ACK;
+        }
+    }
+
+    /**
+     * Asks a third daemon to probe a target.
+     *
+     * @param sequence number of the probe
+     * @param target daemon that did not answer
+     */
+    record ProbeRequest(long sequence, Identity target) implements MemberMessage {
+        @Override
+        public int tag() {
+            return TAG_PROBE_REQUEST;
+        }
+    }
+
+    /**
+     * The target of a probe request answered.
+     *
+     * @param sequence number of the probe
+     * @param target daemon that answered
+     */
+    record ProbeReply(long sequence, Identity target) implements MemberMessage {
+        @Override
+        public int tag() {
+            return TAG_PROBE_REPLY;
+        }
+    }
+
+    /**
+     * A daemon introduces itself; the receiver answers with its tables.
+     *
+     * @param member record of the sender
+     */
+    record Join(Member member) implements MemberMessage {
+        @Override
+        public int tag() {
+            return TAG_JOIN;
+        }
+    }
+
+    /**
+     * Asks for the tables of domains whose digests differ.
+     *
+     * @param digests digest by domain at the sender
+     */
+    record TableRequest(Map<Identity, Long> digests) implements MemberMessage {
+        /** Copies the map. */
+        public TableRequest {
+            digests = Map.copyOf(digests);
+        }
+
+        @Override
+        public int tag() {
+            return TAG_TABLE_REQUEST;
+        }
+    }
+
+    /**
+     * Table of one domain, dead daemons included.
+     *
+     * @param domain the domain
+     * @param members its records
+     * @param notices its leaving notices
+     */
+    record Table(Identity domain, List<Member> members, List<LeavingNotice> notices)
+            implements MemberMessage {
+        /** Copies the lists. */
+        public Table {
+            members = List.copyOf(members);
+            notices = List.copyOf(notices);
+        }
+
+        @Override
+        public int tag() {
+            return TAG_TABLE;
+        }
+    }
+
+    /**
+     * Heartbeat of one domain to another; its digest and news are of the sender's domain only.
+     *
+     * @param domain domain of the sender
+     * @param heartbeat heartbeat
+     */
+    record Beat(Identity domain, Heartbeat heartbeat) implements MemberMessage {
+        @Override
+        public int tag() {
+            return TAG_BEAT;
+        }
+    }
+
+    /**
+     * Changes that must not wait for a heartbeat.
+     *
+     * @param news changes
+     */
+    record UrgentNews(News news) implements MemberMessage {
+        @Override
+        public int tag() {
+            return TAG_NEWS;
+        }
+    }
+}
