--- a/core/src/main/java/org/amaranthpick/core/config/ConfigurationStore.java
+++ b/core/src/main/java/org/amaranthpick/core/config/ConfigurationStore.java
@@ -98,6 +98,15 @@
         return readRoot().thenCompose(this::loadRoot);
     }
 
+    /** Reads a stored root; empty if the bytes are no root. */
+    static Optional<ConfigurationRoot> parseRoot(byte[] bytes) {
+        try {
+            return Optional.of(ConfigurationRoot.fromBytes(bytes));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
     ObjectStore store() {
         return mStore;
     }
@@ -140,12 +149,10 @@
 
     private static RootResult toRoot(ReadResult result) {
         if (result instanceof ReadResult.Found found) {
-            try {
-                ConfigurationRoot root = ConfigurationRoot.fromBytes(found.object().value());
-                return new RootResult.Read(Optional.of(root), found.object().version());
-            } catch (IllegalArgumentException e) {
-                return new RootResult.Unavailable(e.getMessage());
-            }
+            Optional<ConfigurationRoot> root = parseRoot(found.object().value());
+            return root.isPresent()
+                    ? new RootResult.Read(root, found.object().version())
+                    : new RootResult.Unavailable("the stored root is malformed, apply again");
         }
         if (result instanceof ReadResult.Missing) {
             return new RootResult.Read(Optional.empty(), 0);
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/config/SpreadTree.java
@@ -0,0 +1,45 @@
+package org.amaranthpick.core.config;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.amaranthpick.core.member.Member;
+import org.amaranthpick.core.member.Rendezvous;
+import org.amaranthpick.core.name.Identity;
+
+/**
+ * Tree over the daemons of one domain along which a generation spreads. Each generation has another
+ * order, so that the work is spread evenly.
+ */
+final class SpreadTree {
+    private static final int FAN_OUT = 4;
+
+    private SpreadTree() {}
+
+    /**
+     * Returns the daemons that one daemon tells.
+     *
+     * @param generation generation that spreads
+     * @param origin daemon at the top
+     * @param self daemon that tells
+     * @param domain live daemons of the domain
+     * @return up to {@link #FAN_OUT} hosts
+     */
+    static List<Identity> children(
+            long generation, Identity origin, Identity self, Collection<Member> domain) {
+        List<Identity> order = new ArrayList<>();
+        order.add(origin);
+        for (Member member : Rendezvous.rank("spread " + generation, domain, domain.size())) {
+            if (!member.host().equals(origin)) {
+                order.add(member.host());
+            }
+        }
+        int position = order.indexOf(self);
+        if (position < 0) {
+            return List.of();
+        }
+        int from = Math.min(order.size(), position * FAN_OUT + 1);
+        int to = Math.min(order.size(), from + FAN_OUT);
+        return order.subList(from, to);
+    }
+}
--- a/core/src/main/java/org/amaranthpick/core/member/Membership.java
+++ b/core/src/main/java/org/amaranthpick/core/member/Membership.java
@@ -30,8 +30,8 @@
  */
 public final class Membership implements MemberView, AutoCloseable {
     private static final int JOIN_CONTACTS = 3;
-    private static final int BROADCASTS = 3;
-    private static final Duration BROADCAST_PERIOD = Duration.ofMillis(700);
+    private static final int BROADCASTS = 5;
+    private static final Duration BROADCAST_PERIOD = Duration.ofMillis(500);
     private static final int MAX_PERIODS_BETWEEN_STEPS = 2;
 
     private final Object mLock = new Object();
--- a/core/src/main/java/org/amaranthpick/core/peer/VirtualPeers.java
+++ b/core/src/main/java/org/amaranthpick/core/peer/VirtualPeers.java
@@ -1,8 +1,10 @@
 package org.amaranthpick.core.peer;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiPredicate;
@@ -20,6 +22,7 @@
     private final PeerCodec mCodec;
     private final Map<Identity, Endpoint> mEndpoints = new HashMap<>();
     private final Set<Identity> mDown = new HashSet<>();
+    private final Map<Identity, List<Runnable>> mPaused = new HashMap<>();
     private BiPredicate<Identity, Identity> mCut = (from, to) -> false;
     private Duration mMinDelay = Duration.ofMillis(1);
     private Duration mMaxDelay = Duration.ofMillis(5);
@@ -81,6 +84,23 @@
         }
     }
 
+    /**
+     * Holds back the messages to one daemon, or delivers those held back.
+     *
+     * @param host daemon
+     * @param paused true to hold back
+     */
+    public void setPaused(Identity host, boolean paused) {
+        if (paused) {
+            mPaused.putIfAbsent(host, new ArrayList<>());
+            return;
+        }
+        List<Runnable> held = mPaused.remove(host);
+        if (held != null) {
+            held.forEach(Runnable::run);
+        }
+    }
+
     /**
      * Attaches a daemon; a former one under the same identity is detached.
      *
@@ -111,6 +131,11 @@
         if (receiver == null || mDown.contains(to) || mCut.test(from, to)) {
             return;
         }
+        List<Runnable> held = mPaused.get(to);
+        if (held != null) {
+            held.add(() -> deliver(from, to, bytes));
+            return;
+        }
         receiver.mReceivedMessages++;
         receiver.mReceivedBytes += bytes.length;
         if (mCodec.decode(bytes) instanceof DecodedMessage.Message decoded) {
--- a/core/src/test/java/org/amaranthpick/core/config/FaultyStore.java
+++ b/core/src/test/java/org/amaranthpick/core/config/FaultyStore.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.core.config;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.amaranthpick.core.store.ListResult;
@@ -24,6 +25,7 @@
     long mCalls;
     long mWrites;
 
+    private ReadResult mFrozenRoot;
     private final MemoryObjectStore mStore;
     private final Scheduler mScheduler;
     private final Duration mDelay;
@@ -36,9 +38,18 @@
 
     @Override
     public CompletionStage<ReadResult> read(String key) {
+        if (mFrozenRoot != null && !mDown && key.equals(ConfigurationStore.ROOT_KEY)) {
+            return later(mFrozenRoot);
+        }
         return mDown ? later(new ReadResult.Unavailable("down")) : delayed(mStore.read(key));
     }
 
+    /** Gives the present root to every later read and ends watch events: a stale replica. */
+    void freezeRoot() {
+        mFrozenRoot = mStore.read(ConfigurationStore.ROOT_KEY).toCompletableFuture().join();
+        mSilent = true;
+    }
+
     @Override
     public CompletionStage<WriteResult> write(
             String key, WriteCondition condition, byte[] value, WriterToken writer) {
@@ -72,7 +83,14 @@
 
     @Override
     public CompletionStage<ListResult> list(String prefix) {
-        return mDown ? later(new ListResult.Unavailable("down")) : delayed(mStore.list(prefix));
+        if (mDown) {
+            return later(new ListResult.Unavailable("down"));
+        }
+        if (prefix.equals(ConfigurationStore.ROOT_KEY)
+                && mFrozenRoot instanceof ReadResult.Found frozen) {
+            return later(new ListResult.Listed(List.of(frozen.object()), 0));
+        }
+        return delayed(mStore.list(prefix));
     }
 
     @Override
--- a/core/src/test/java/org/amaranthpick/core/member/MemberCluster.java
+++ b/core/src/test/java/org/amaranthpick/core/member/MemberCluster.java
@@ -11,24 +11,32 @@
 import java.util.concurrent.CompletableFuture;
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.name.ResourceKind;
+import org.amaranthpick.core.peer.MessageCodec;
 import org.amaranthpick.core.peer.PeerCodec;
 import org.amaranthpick.core.peer.VirtualPeers;
 import org.amaranthpick.core.time.VirtualScheduler;
 
 /** Memberships of several domains on virtual time with a host list that lags. */
-final class MemberCluster {
-    static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+public final class MemberCluster {
+    public static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
 
-    final VirtualScheduler mScheduler = new VirtualScheduler(START);
-    final SplittableRandom mRandom;
-    final VirtualPeers mPeers;
-    final List<Membership> mDaemons = new ArrayList<>();
-    final Map<Identity, ListedHost> mListed = new HashMap<>();
-    final Map<Identity, VirtualPeers.Endpoint> mEndpoints = new HashMap<>();
+    public final VirtualScheduler mScheduler = new VirtualScheduler(START);
+    public final SplittableRandom mRandom;
+    public final VirtualPeers mPeers;
+    public final List<Membership> mDaemons = new ArrayList<>();
+    public final Map<Identity, ListedHost> mListed = new HashMap<>();
+    private final Map<Identity, PausableScheduler> mSchedulers = new HashMap<>();
+    public final Map<Identity, VirtualPeers.Endpoint> mEndpoints = new HashMap<>();
 
     MemberCluster(long seed, int domains, int perDomain) {
+        this(seed, domains, perDomain, List.of());
+    }
+
+    public MemberCluster(long seed, int domains, int perDomain, List<MessageCodec<?>> otherCodecs) {
         mRandom = new SplittableRandom(seed);
-        mPeers = new VirtualPeers(mScheduler, mRandom.split(), new PeerCodec(MemberCodecs.all()));
+        List<MessageCodec<?>> codecs = new ArrayList<>(MemberCodecs.all());
+        codecs.addAll(otherCodecs);
+        mPeers = new VirtualPeers(mScheduler, mRandom.split(), new PeerCodec(codecs));
         for (int i = 0; i < domains * perDomain; i++) {
             list(host(i), address(i), domain(i / perDomain));
         }
@@ -37,24 +45,24 @@
         }
     }
 
-    static Identity host(int number) {
+    public static Identity host(int number) {
         return new Identity("f", ResourceKind.HOST, "h" + number);
     }
 
-    static Identity domain(int number) {
+    public static Identity domain(int number) {
         return new Identity("f", ResourceKind.DOMAIN, "d" + number);
     }
 
-    static PeerAddress address(int number) {
+    public static PeerAddress address(int number) {
         return new PeerAddress("10.0." + number / 250 + "." + (number % 250 + 1), 7000);
     }
 
-    void list(Identity host, PeerAddress address, Identity domain) {
+    public void list(Identity host, PeerAddress address, Identity domain) {
         mListed.put(
                 host, new ListedHost(host, Optional.of(address), domain, "r", Optional.empty()));
     }
 
-    Membership start(Identity host, PeerAddress address, Identity domain) {
+    public Membership start(Identity host, PeerAddress address, Identity domain) {
         Member self =
                 new Member(
                         host,
@@ -70,7 +78,7 @@
                         self,
                         endpoint,
                         () -> CompletableFuture.completedFuture(List.copyOf(mListed.values())),
-                        mScheduler,
+                        schedulerOf(host),
                         mRandom.split(),
                         (kind, subject, text) -> {},
                         MembershipSettings.DEFAULT);
@@ -78,27 +86,37 @@
         return membership;
     }
 
-    void run(Duration time) {
+    /** Returns the timers of one daemon, which stand still while it is paused. */
+    public PausableScheduler schedulerOf(Identity host) {
+        return mSchedulers.computeIfAbsent(host, h -> new PausableScheduler(mScheduler));
+    }
+
+    public void setPaused(Identity host, boolean paused) {
+        schedulerOf(host).setPaused(paused);
+        mPeers.setPaused(host, paused);
+    }
+
+    public void run(Duration time) {
         mScheduler.advance(time);
     }
 
-    long sentBytes() {
+    public long sentBytes() {
         return mEndpoints.values().stream().mapToLong(VirtualPeers.Endpoint::sentBytes).sum();
     }
 
-    void runSeconds(long seconds) {
+    public void runSeconds(long seconds) {
         run(Duration.ofSeconds(seconds));
     }
 
     /** Counts the daemons, of those given, that hold a host in a state. */
-    long holding(List<Membership> daemons, Identity host, MemberState state) {
+    public long holding(List<Membership> daemons, Identity host, MemberState state) {
         return daemons.stream()
                 .filter(d -> d.member(host).map(Member::state).orElse(MemberState.DEAD) == state)
                 .count();
     }
 
     /** Returns the daemons but those of given numbers. */
-    List<Membership> without(int... numbers) {
+    public List<Membership> without(int... numbers) {
         List<Membership> rest = new ArrayList<>(mDaemons);
         for (int number : numbers) {
             rest.remove(mDaemons.get(number));
--- a/core/src/test/java/org/amaranthpick/core/member/MembershipTest.java
+++ b/core/src/test/java/org/amaranthpick/core/member/MembershipTest.java
@@ -107,12 +107,9 @@
         MemberCluster cluster = new MemberCluster(6, 2, 8);
         cluster.runSeconds(20);
         Identity host = MemberCluster.host(2);
-        cluster.mPeers.setDown(host, true);
-        cluster.mDaemons.get(2).close();
+        cluster.setPaused(host, true);
         cluster.runSeconds(pauseSeconds);
-        cluster.mPeers.setDown(host, false);
-        cluster.mDaemons.set(
-                2, cluster.start(host, MemberCluster.address(2), MemberCluster.domain(0)));
+        cluster.setPaused(host, false);
         cluster.runSeconds(20);
         cluster.mDaemons.forEach(daemon -> assertEquals(16, daemon.members().size()));
     }
