Order engines to their targets under lease, hold and chain rules

Cause: plans must reach engines safely across takeovers, pauses and lost answers. Change: ControlShard opens the shard object under its fence, plans on a survey of observations and issues level-triggered orders; routing holds are told to all daemons (tag 100), weight loads are split between shards (tag 101); destructive orders wait for hold, spread and drain and never take the last chain.

--- a/core/src/main/java/org/amaranthpick/core/placement/Candidates.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/Candidates.java
@@ -36,19 +36,18 @@
      * @return 0 for the first candidate; empty if this daemon is none
      */
     Optional<Integer> rank(Configuration configuration, DomainSpec domain) {
+        int index = hosts(configuration, domain).indexOf(mMembers.self().host());
+        return index < 0 ? Optional.empty() : Optional.of(index);
+    }
+
+    /** Returns the hosts that look after a shard, the first candidate first. */
+    List<Identity> hosts(Configuration configuration, DomainSpec domain) {
         List<Member> working =
                 mMembers.members().stream().filter(m -> m.state().acceptsWork()).toList();
         Optional<Identity> home = servingDomain(configuration, domain, working);
-        if (home.isEmpty()) {
-            return Optional.empty();
-        }
-        List<Member> local = working.stream().filter(m -> m.domain().equals(home.get())).toList();
-        List<Identity> ranked =
-                Rendezvous.rank(domain.id().key(), local, COUNT).stream()
-                        .map(Member::host)
-                        .toList();
-        int index = ranked.indexOf(mMembers.self().host());
-        return index < 0 ? Optional.empty() : Optional.of(index);
+        List<Member> local =
+                working.stream().filter(m -> home.filter(m.domain()::equals).isPresent()).toList();
+        return Rendezvous.rank(domain.id().key(), local, COUNT).stream().map(Member::host).toList();
     }
 
     private static Optional<Identity> servingDomain(
--- a/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
@@ -1,26 +1,251 @@
 package org.amaranthpick.core.placement;
 
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.amaranthpick.core.config.Configuration;
+import org.amaranthpick.core.explain.DecisionKind;
+import org.amaranthpick.core.invariant.Invariant;
+import org.amaranthpick.core.manifest.DomainSpec;
+import org.amaranthpick.core.manifest.UpstreamSpec;
 import org.amaranthpick.core.name.Identity;
 
 /** Control shard of one failure domain as seen by one daemon. Guarded by its own lock. */
 final class ControlShard {
+    private final Identity mDomain;
+    private final PlacementContext mContext;
+    private final PlacementPolicy mPolicy;
     private final LeaseKeeper mLease;
+    private final ShardJournal mJournal;
+    private final HoldAnnouncer mHolds;
+    private final TrustTable mTrust;
+    private final OrderSender mSender;
+    private final OrderIssuer mIssuer;
+    private final ModelNeeds mNeeds;
+    private Map<Identity, List<UpstreamSpec.Holding>> mTold = Map.of();
+    private Set<Identity> mUnusable = Set.of();
+    private long mFence;
+    private long mFenceFloor;
+    private long mNextPlanNs;
+    private Phase mPhase = Phase.IDLE;
 
-    ControlShard(Identity domain, PlacementContext context) {
-        mLease = new LeaseKeeper(domain.key(), context, this, () -> 0L);
+    /** What the shard does at present. */
+    enum Phase {
+        IDLE,
+        OPENING,
+        ACTIVE
+    }
+
+    ControlShard(
+            Identity domain,
+            PlacementContext context,
+            PlacementPolicy policy,
+            HoldTable holds,
+            WeightBudget budget) {
+        mDomain = domain;
+        mContext = context;
+        mPolicy = policy;
+        mLease = new LeaseKeeper(domain.key(), context, this, this::fenceFloor);
+        mJournal = new ShardJournal(domain, context, this);
+        mHolds = new HoldAnnouncer(domain, context, holds);
+        mTrust = new TrustTable(context.scheduler());
+        mSender =
+                new OrderSender(
+                        domain, context, this, mJournal, mLease, mHolds, mTrust, this::onFenced);
+        mIssuer = new OrderIssuer(domain, context, mHolds, budget, mSender);
+        mNeeds = new ModelNeeds(context, policy.demand());
     }
 
     synchronized Optional<Lease> lease() {
         return mLease.held();
     }
 
+    synchronized Optional<ShardStatus> status() {
+        return mLease.held()
+                .map(
+                        l ->
+                                new ShardStatus(
+                                        mDomain, l.fence(), mIssuer.open(), mIssuer.loadsWanted()));
+    }
+
     synchronized void step(Configuration configuration, Optional<Integer> rank) {
         mLease.step(rank);
+        Optional<Lease> lease = mLease.held();
+        if (lease.isEmpty()) {
+            stop();
+            return;
+        }
+        if (mPhase == Phase.IDLE || lease.get().fence() != mFence) {
+            open(lease.get());
+        }
+        if (mPhase == Phase.ACTIVE) {
+            control(configuration, lease.get());
+        }
     }
 
     synchronized void close() {
+        stop();
         mLease.release();
     }
+
+    private void stop() {
+        if (mPhase != Phase.IDLE) {
+            mPhase = Phase.IDLE;
+            mHolds.stop();
+            mTold = Map.of();
+        }
+    }
+
+    private void open(Lease lease) {
+        mContext.invariants()
+                .check(
+                        Invariant.FENCE_NEVER_FALLS,
+                        lease.fence() >= mFence,
+                        "shard %s: own fence %d after %d",
+                        mDomain,
+                        lease.fence(),
+                        mFence);
+        if (mJournal.busy()) {
+            return;
+        }
+        mFence = lease.fence();
+        mPhase = Phase.OPENING;
+        mJournal.open(lease.fence(), result -> onOpened(lease, result));
+    }
+
+    private void onOpened(Lease lease, ShardJournal.Result result) {
+        if (result == ShardJournal.Result.OVERTAKEN) {
+            onFenced(mJournal.record().fence());
+        } else if (result == ShardJournal.Result.RETRY || lease.fence() != mFence) {
+            mPhase = Phase.IDLE;
+        } else {
+            mPhase = Phase.ACTIVE;
+            mTold = mJournal.record().holdings();
+            mSender.start();
+            mIssuer.start();
+            mHolds.start(lease.fence());
+            mNextPlanNs = mContext.scheduler().monotonicNs();
+        }
+    }
+
+    private void onFenced(long fence) {
+        mFenceFloor = Math.max(mFenceFloor, fence);
+        if (fence > mFence) {
+            mContext.decisions()
+                    .record(
+                            DecisionKind.LEASE,
+                            mDomain.key(),
+                            "gives way: fence " + fence + " was seen, own is " + mFence);
+            mLease.abandon();
+            stop();
+        }
+    }
+
+    private long fenceFloor() {
+        long[] floor = {mFenceFloor};
+        mContext.board()
+                .upstreams()
+                .forEach(
+                        (id, seen) -> {
+                            boolean own =
+                                    mContext.configuration()
+                                            .current()
+                                            .flatMap(c -> c.upstream(id))
+                                            .filter(u -> u.domain().equals(mDomain))
+                                            .isPresent();
+                            if (own) {
+                                floor[0] = Math.max(floor[0], seen.status().fence().orElse(0L));
+                            }
+                        });
+        return floor[0];
+    }
+
+    private void control(Configuration configuration, Lease lease) {
+        EngineSurvey survey = new EngineSurvey(configuration, mContext, mTrust::trusted);
+        long nowNs = mContext.scheduler().monotonicNs();
+        if (nowNs >= mNextPlanNs) {
+            mNextPlanNs = nowNs + mContext.settings().planPeriod().toNanos();
+            plan(configuration, survey);
+        }
+        mIssuer.step(configuration, survey, lease);
+        mHolds.step();
+    }
+
+    private void plan(Configuration configuration, EngineSurvey survey) {
+        logUsability(survey);
+        List<ModelNeed> needs = mNeeds.current(configuration);
+        PlanInput input =
+                new PlanInput(
+                        survey.views(this::heldOrTold),
+                        needs,
+                        Set.of(mDomain),
+                        cutOff(configuration));
+        Plan plan = mPolicy.planner().plan(input);
+        logChanges(survey, plan);
+        mTold = new HashMap<>(plan.targets());
+        Set<Identity> wanted =
+                needs.stream()
+                        .filter(need -> !need.retired())
+                        .map(need -> need.model().id())
+                        .collect(Collectors.toSet());
+        mIssuer.want(plan.targets(), wanted);
+    }
+
+    private List<UpstreamSpec.Holding> heldOrTold(EngineSurvey.Entry entry) {
+        boolean own = entry.spec().domain().equals(mDomain);
+        List<UpstreamSpec.Holding> told = own ? mTold.get(entry.spec().id()) : null;
+        return told != null && !told.isEmpty() ? told : entry.held();
+    }
+
+    private Set<Identity> cutOff(Configuration configuration) {
+        return configuration.manifest().domains().stream()
+                .map(DomainSpec::id)
+                .filter(id -> !id.equals(mDomain))
+                .filter(id -> mPolicy.links().degraded(mDomain, id))
+                .collect(Collectors.toSet());
+    }
+
+    private void logUsability(EngineSurvey survey) {
+        Set<Identity> unusable = new HashSet<>();
+        for (EngineSurvey.Entry entry : survey.entries().values()) {
+            if (!entry.usable() && entry.spec().domain().equals(mDomain)) {
+                unusable.add(entry.spec().id());
+                if (!mUnusable.contains(entry.spec().id())) {
+                    log(entry.spec().id(), "left out of plans: " + entry.fault().orElse(""));
+                }
+            }
+        }
+        mUnusable.stream()
+                .filter(id -> !unusable.contains(id))
+                .sorted()
+                .forEach(id -> log(id, "back in plans"));
+        mUnusable = unusable;
+    }
+
+    private void logChanges(EngineSurvey survey, Plan plan) {
+        plan.targets().keySet().stream()
+                .sorted()
+                .forEach(
+                        id -> {
+                            List<UpstreamSpec.Holding> target = plan.targets().get(id);
+                            List<UpstreamSpec.Holding> before =
+                                    survey.entry(id).map(this::heldOrTold).orElse(List.of());
+                            if (!Holdings.same(before, target)) {
+                                log(
+                                        id,
+                                        "to hold "
+                                                + OrderSender.text(target)
+                                                + " in place of "
+                                                + OrderSender.text(before));
+                            }
+                        });
+    }
+
+    private void log(Identity engine, String text) {
+        mContext.decisions().record(DecisionKind.PLACEMENT, engine.key(), text);
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/placement/DemandView.java
@@ -0,0 +1,24 @@
+package org.amaranthpick.core.placement;
+
+import org.amaranthpick.core.name.Identity;
+
+/** Demand per model version and adapter. */
+public interface DemandView {
+    /**
+     * Returns the demand for a model version over all domains.
+     *
+     * @param modelVersion identity of kind MODEL_VERSION
+     * @return generated tokens per second, 0 or more
+     */
+    double tokensPerSecond(Identity modelVersion);
+
+    /**
+     * Returns how much an adapter is used compared with others.
+     *
+     * @param adapter identity of kind ADAPTER
+     * @return any number from 0; higher is used more
+     */
+    default double adapterUse(Identity adapter) {
+        return 0;
+    }
+}
--- a/core/src/main/java/org/amaranthpick/core/placement/LeaseKeeper.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/LeaseKeeper.java
@@ -88,6 +88,12 @@
         mObject.write(StoreJson.write(record.get().asReleased()), end -> {});
     }
 
+    /** Stops believing in the lease; it is taken again only with a higher fencing number. */
+    void abandon() {
+        mLease = Optional.empty();
+        nextCallAfter(mSettings.renewPeriod());
+    }
+
     private void dropIfLapsed() {
         if (mLease.isPresent() && held().isEmpty()) {
             log("lapsed, fence " + mLease.get().fence() + " is given up");
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/placement/LinkHealth.java
@@ -0,0 +1,19 @@
+package org.amaranthpick.core.placement;
+
+import org.amaranthpick.core.name.Identity;
+
+/** Measured state of the links between places. */
+@FunctionalInterface
+public interface LinkHealth {
+    /** No link is known to be degraded. */
+    LinkHealth ALL_WELL = (from, to) -> false;
+
+    /**
+     * Tells whether a link is too slow to build chains over.
+     *
+     * @param from identity of kind DOMAIN or UPSTREAM
+     * @param to identity of the same kind
+     * @return true if it is degraded
+     */
+    boolean degraded(Identity from, Identity to);
+}
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/placement/OrderIssuer.java
@@ -0,0 +1,270 @@
+package org.amaranthpick.core.placement;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.amaranthpick.core.config.Configuration;
+import org.amaranthpick.core.manifest.LayerRange;
+import org.amaranthpick.core.manifest.ModelVersionSpec;
+import org.amaranthpick.core.manifest.UpstreamSpec;
+import org.amaranthpick.core.name.Identity;
+
+/**
+ * Brings the engines of one control shard to their targets. Every step compares targets with
+ * observations; nothing is queued, so that a lost order, a restart or a takeover needs no special
+ * case. Guarded by the shard's lock.
+ */
+final class OrderIssuer {
+    private static final int LEAST_CHANGES_AT_ONCE = 2;
+    private static final long DRAIN_CHECK_PERIOD_NS = 1_000_000_000L;
+    private static final long LONG_AGO_NS = Long.MIN_VALUE / 2;
+
+    private final Identity mShard;
+    private final PlacementContext mContext;
+    private final HoldAnnouncer mHolds;
+    private final WeightBudget mBudget;
+    private final OrderSender mSender;
+    private final Map<Identity, EngineOrder> mOrders = new TreeMap<>();
+    private Map<Identity, List<UpstreamSpec.Holding>> mTargets = Map.of();
+    private Set<Identity> mProtected = Set.of();
+    private Instant mKnowledgeStart = Instant.EPOCH;
+    private int mLoadsWanted;
+
+    OrderIssuer(
+            Identity shard,
+            PlacementContext context,
+            HoldAnnouncer holds,
+            WeightBudget budget,
+            OrderSender sender) {
+        mShard = shard;
+        mContext = context;
+        mHolds = holds;
+        mBudget = budget;
+        mSender = sender;
+    }
+
+    /** Starts anew; only observations from now on count. */
+    void start() {
+        mOrders.clear();
+        mTargets = Map.of();
+        mLoadsWanted = 0;
+        mKnowledgeStart = mContext.scheduler().instant();
+    }
+
+    /** Sets what the engines are to hold and which model versions must keep a chain. */
+    void want(Map<Identity, List<UpstreamSpec.Holding>> targets, Set<Identity> protectedModels) {
+        mTargets = new TreeMap<>(targets);
+        mProtected = Set.copyOf(protectedModels);
+        mOrders.keySet().stream()
+                .filter(id -> !mTargets.containsKey(id))
+                .toList()
+                .forEach(this::forget);
+    }
+
+    /** Returns the engines that load weights or wait to. */
+    int loadsWanted() {
+        return mLoadsWanted;
+    }
+
+    /** Returns the engines that are not yet as wanted. */
+    int open() {
+        return mOrders.size();
+    }
+
+    /** Returns what each engine was told or will be told to hold. */
+    Map<Identity, List<UpstreamSpec.Holding>> targets() {
+        return mTargets;
+    }
+
+    /** Runs one step. */
+    void step(Configuration configuration, EngineSurvey survey, Lease lease) {
+        List<Work> open = new ArrayList<>();
+        for (Map.Entry<Identity, List<UpstreamSpec.Holding>> want : mTargets.entrySet()) {
+            openWork(configuration, survey, want.getKey(), want.getValue()).ifPresent(open::add);
+        }
+        mLoadsWanted = (int) open.stream().filter(Work::loads).count();
+        int slots = mBudget.slots(configuration, mShard, mLoadsWanted);
+        Slots left = new Slots(slots, Math.max(LEAST_CHANGES_AT_ONCE, slots));
+        open.stream().filter(this::inProgress).forEach(left::take);
+        List<Work> ready = new ArrayList<>();
+        for (Work work : open) {
+            if (inProgress(work) || left.take(work)) {
+                advance(configuration, survey, work, ready);
+            }
+        }
+        mSender.send(configuration, lease, ready, mTargets);
+    }
+
+    private Optional<Work> openWork(
+            Configuration configuration,
+            EngineSurvey survey,
+            Identity engine,
+            List<UpstreamSpec.Holding> target) {
+        Optional<EngineSurvey.Entry> entry =
+                survey.entry(engine).filter(EngineSurvey.Entry::usable);
+        if (entry.isEmpty()) {
+            forget(engine);
+            return Optional.empty();
+        }
+        Instant sampledAt = entry.get().seen().orElseThrow().sampledAt();
+        if (sampledAt.isBefore(mKnowledgeStart)) {
+            return Optional.empty();
+        }
+        if (Holdings.same(entry.get().held(), target)) {
+            settle(engine, target);
+            return Optional.empty();
+        }
+        EngineOrder order = mOrders.get(engine);
+        if (order == null || !Holdings.same(order.mTarget, target)) {
+            order = new EngineOrder(engine, target);
+            mOrders.put(engine, order);
+        }
+        return Optional.of(
+                new Work(order, entry.get(), bytesToLoad(configuration, entry.get(), order)));
+    }
+
+    private void settle(Identity engine, List<UpstreamSpec.Holding> target) {
+        EngineOrder order = mOrders.get(engine);
+        if (order != null && order.mAttempts > 0) {
+            mSender.log(engine, "done: holds " + OrderSender.text(target));
+        }
+        forget(engine);
+    }
+
+    private void forget(Identity engine) {
+        mOrders.remove(engine);
+        mHolds.clear(engine);
+    }
+
+    private boolean inProgress(Work work) {
+        EngineOrder order = work.order();
+        return order.mSending
+                || order.mDeadlineNs.isPresent()
+                || mHolds.held().contains(order.mEngine);
+    }
+
+    private void advance(
+            Configuration configuration, EngineSurvey survey, Work work, List<Work> ready) {
+        EngineOrder order = work.order();
+        long nowNs = mContext.scheduler().monotonicNs();
+        String bootId = work.entry().seen().orElseThrow().status().bootId();
+        if (order.mSending || order.isUnderWay(nowNs, bootId)) {
+            return;
+        }
+        if (order.mDeadlineNs.isPresent()) {
+            mSender.missed(order, work.entry());
+        }
+        if (nowNs < order.mNextTryNs) {
+            return;
+        }
+        if (!work.destructive() || readyToDestroy(configuration, survey, work)) {
+            ready.add(work);
+        }
+    }
+
+    private boolean readyToDestroy(Configuration configuration, EngineSurvey survey, Work work) {
+        EngineOrder order = work.order();
+        Identity engine = order.mEngine;
+        Set<Identity> models = Holdings.models(work.entry().held());
+        if (!mHolds.holds(engine, models)) {
+            Optional<Identity> last = lastChain(configuration, survey, work);
+            if (last.isPresent()) {
+                mHolds.clear(engine);
+                mSender.logOnce(order, "waits: it is part of the last chain of " + last.get());
+                return false;
+            }
+            mHolds.set(engine, models);
+            mSender.logOnce(
+                    order, "held back from routing before " + OrderSender.text(order.mTarget));
+            return false;
+        }
+        long heldNs = mHolds.ageNs(engine).orElse(0L);
+        if (heldNs < mContext.settings().holdSpread().toNanos()) {
+            return false;
+        }
+        checkDrained(work);
+        long nowNs = mContext.scheduler().monotonicNs();
+        boolean drained = nowNs - order.mDrainedAtNs.orElse(LONG_AGO_NS) <= DRAIN_CHECK_PERIOD_NS;
+        if (drained && lastChain(configuration, survey, work).isPresent()) {
+            mHolds.clear(engine);
+            return false;
+        }
+        return drained;
+    }
+
+    private void checkDrained(Work work) {
+        EngineOrder order = work.order();
+        long nowNs = mContext.scheduler().monotonicNs();
+        if (nowNs - order.mCheckStartedNs < DRAIN_CHECK_PERIOD_NS) {
+            return;
+        }
+        order.mCheckStartedNs = nowNs;
+        mSender.checkDrained(work.entry().spec(), order);
+    }
+
+    private Optional<Identity> lastChain(
+            Configuration configuration, EngineSurvey survey, Work work) {
+        ChainGuard guard = new ChainGuard(survey, mShard);
+        Identity engine = work.order().mEngine;
+        for (UpstreamSpec.Holding held : work.entry().held()) {
+            Optional<ModelVersionSpec> model = configuration.modelVersion(held.modelVersion());
+            if (model.isPresent() && mProtected.contains(held.modelVersion())) {
+                List<LayerRange> keeps = List.of();
+                if (!guard.allows(model.get(), engine, keeps, mHolds.held())) {
+                    return Optional.of(held.modelVersion());
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static long bytesToLoad(
+            Configuration configuration, EngineSurvey.Entry entry, EngineOrder order) {
+        return Holdings.models(order.mTarget).stream()
+                .flatMap(id -> configuration.modelVersion(id).stream())
+                .mapToLong(model -> Holdings.bytesToLoad(model, entry.held(), order.mTarget))
+                .sum();
+    }
+
+    /**
+     * Engine that is not as wanted.
+     *
+     * @param order its progress
+     * @param entry what is known of it
+     * @param bytesToLoad weights to load
+     */
+    record Work(EngineOrder order, EngineSurvey.Entry entry, long bytesToLoad) {
+        boolean loads() {
+            return bytesToLoad > 0;
+        }
+
+        boolean destructive() {
+            return !Holdings.covers(order.mTarget, entry.held());
+        }
+    }
+
+    /** Changes that may be under way at once. */
+    private static final class Slots {
+        private int mLoads;
+        private int mDestructive;
+
+        Slots(int loads, int destructive) {
+            mLoads = loads;
+            mDestructive = destructive;
+        }
+
+        boolean take(Work work) {
+            boolean fits =
+                    (!work.loads() || mLoads > 0) && (!work.destructive() || mDestructive > 0);
+            if (fits) {
+                mLoads -= work.loads() ? 1 : 0;
+                mDestructive -= work.destructive() ? 1 : 0;
+            }
+            return fits;
+        }
+    }
+}
--- a/core/src/main/java/org/amaranthpick/core/placement/PlacementService.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/PlacementService.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.core.placement;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -17,18 +18,37 @@
     private static final Duration PERIOD = Duration.ofMillis(500);
 
     private final PlacementContext mContext;
+    private final PlacementPolicy mPolicy;
+    private final HoldTable mHolds;
+    private final WeightBudget mBudget;
+    private final PlacementPeers mPeers;
     private final Candidates mCandidates;
     private final Map<Identity, ControlShard> mShards = new TreeMap<>();
     private boolean mClosed;
 
     /**
-     * Creates the service.
+     * Creates the service with the policy of a production fleet.
      *
      * @param context what placement works with
      */
     public PlacementService(PlacementContext context) {
+        this(context, PlacementPolicy.defaults(context.board(), context.configuration()));
+    }
+
+    /**
+     * Creates the service and registers its message handlers.
+     *
+     * @param context what placement works with
+     * @param policy what placement decides by
+     */
+    public PlacementService(PlacementContext context, PlacementPolicy policy) {
         mContext = context;
+        mPolicy = policy;
+        mHolds = new HoldTable(context);
+        mBudget = new WeightBudget(context.scheduler());
+        mPeers = new PlacementPeers(context, mHolds, mBudget);
         mCandidates = new Candidates(context.members());
+        mPeers.register();
     }
 
     @Override
@@ -47,17 +67,19 @@
         if (mClosed || configuration.isEmpty()) {
             return;
         }
+        mHolds.expire();
         for (DomainSpec domain : configuration.get().manifest().domains()) {
             Optional<Integer> rank = mCandidates.rank(configuration.get(), domain);
             ControlShard shard = mShards.get(domain.id());
             if (shard == null && rank.isPresent()) {
-                shard = new ControlShard(domain.id(), mContext);
+                shard = new ControlShard(domain.id(), mContext, mPolicy, mHolds, mBudget);
                 mShards.put(domain.id(), shard);
             }
             if (shard != null) {
                 shard.step(configuration.get(), rank);
             }
         }
+        mPeers.tellLoads(configuration.get(), status());
     }
 
     /**
@@ -71,6 +93,15 @@
         return leases;
     }
 
+    /**
+     * Returns the state of the control shards that this daemon owns.
+     *
+     * @return states sorted by domain
+     */
+    public synchronized List<ShardStatus> status() {
+        return mShards.values().stream().flatMap(shard -> shard.status().stream()).toList();
+    }
+
     /** Gives up every lease and stops ordering. */
     @Override
     public synchronized void close() {
