--- a/core/src/main/java/org/amaranthpick/core/placement/ChainGuard.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ChainGuard.java
@@ -1,6 +1,5 @@
 package org.amaranthpick.core.placement;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -54,15 +53,8 @@
     }
 
     private boolean reliesOn(Identity model, Identity domain) {
-        return domain.equals(mDomain) || rank(model, domain) > rank(model, mDomain);
-    }
-
-    private static long rank(Identity model, Identity domain) {
-        return Hashing.komihash5_0()
-                .hashStream()
-                .putString(domain.key())
-                .putString(model.key())
-                .getAsLong();
+        return domain.equals(mDomain)
+                || DomainRank.of(model, domain) > DomainRank.of(model, mDomain);
     }
 
     private static List<LayerRange> ranges(EngineSurvey.Entry entry, Identity model) {
--- a/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
@@ -16,6 +16,8 @@
 
 /** Control shard of one failure domain as seen by one daemon. Guarded by its own lock. */
 final class ControlShard {
+    private static final long HAND_OVER_NS = 60_000_000_000L;
+
     private final Identity mDomain;
     private final PlacementContext mContext;
     private final PlacementPolicy mPolicy;
@@ -31,6 +33,8 @@
     private long mFence;
     private long mFenceFloor;
     private long mNextPlanNs;
+    private long mNextOpenNs;
+    private long mLastCandidateNs;
     private Phase mPhase = Phase.IDLE;
 
     /** What the shard does at present. */
@@ -75,6 +79,10 @@
     synchronized void step(Configuration configuration, Optional<Integer> rank) {
         mLease.step(rank);
         Optional<Lease> lease = mLease.held();
+        if (lease.isPresent() && servedTooLongFromAfar(rank)) {
+            mLease.release();
+            lease = Optional.empty();
+        }
         if (lease.isEmpty()) {
             stop();
             return;
@@ -87,6 +95,14 @@
         }
     }
 
+    private boolean servedTooLongFromAfar(Optional<Integer> rank) {
+        long nowNs = mContext.scheduler().monotonicNs();
+        if (rank.isPresent()) {
+            mLastCandidateNs = nowNs;
+        }
+        return nowNs - mLastCandidateNs > HAND_OVER_NS;
+    }
+
     synchronized void close() {
         stop();
         mLease.release();
@@ -109,9 +125,12 @@
                         mDomain,
                         lease.fence(),
                         mFence);
-        if (mJournal.busy()) {
+        long nowNs = mContext.scheduler().monotonicNs();
+        if (mJournal.busy() || nowNs < mNextOpenNs) {
             return;
         }
+        long retryNs = mContext.settings().renewPeriod().toNanos();
+        mNextOpenNs = nowNs + mContext.random().nextLong(retryNs / 2, retryNs);
         mFence = lease.fence();
         mPhase = Phase.OPENING;
         mJournal.open(lease.fence(), result -> onOpened(lease, result));
@@ -134,7 +153,7 @@
 
     private void onFenced(long fence) {
         mFenceFloor = Math.max(mFenceFloor, fence);
-        if (fence > mFence) {
+        if (fence >= mFence && mPhase != Phase.IDLE) {
             mContext.decisions()
                     .record(
                             DecisionKind.LEASE,
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/placement/DomainRank.java
@@ -0,0 +1,18 @@
+package org.amaranthpick.core.placement;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import org.amaranthpick.core.name.Identity;
+
+/** Order of the domains for one model version, the same for every daemon. */
+final class DomainRank {
+    private DomainRank() {}
+
+    /** Returns the rank of a domain; the highest one comes first. */
+    static long of(Identity model, Identity domain) {
+        return Hashing.komihash5_0()
+                .hashStream()
+                .putString(domain.key())
+                .putString(model.key())
+                .getAsLong();
+    }
+}
--- a/core/src/main/java/org/amaranthpick/core/placement/Draft.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/Draft.java
@@ -82,6 +82,16 @@
         return mLocal.get(model).computeIfAbsent(domain, d -> new LayerFlow(mTrees.get(model)));
     }
 
+    /** Tells whether a domain ranked above another holds the same layers as well. */
+    boolean heldAbove(Placed placed, Identity domain) {
+        Identity model = mModels.get(placed.model()).model().id();
+        long rank = DomainRank.of(model, domain);
+        return mLocal.get(placed.model()).entrySet().stream()
+                .filter(local -> DomainRank.of(model, local.getKey()) > rank)
+                .filter(local -> !mCutOff.contains(local.getKey()))
+                .anyMatch(local -> local.getValue().covers(placed.node()));
+    }
+
     /** Returns the throughput of a model: whole chains within domains, or else over all of them. */
     double throughput(int model) {
         double local = mLocal.get(model).values().stream().mapToDouble(LayerFlow::total).sum();
--- a/core/src/main/java/org/amaranthpick/core/placement/Homes.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/Homes.java
@@ -1,6 +1,5 @@
 package org.amaranthpick.core.placement;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -52,19 +51,11 @@
         room.keySet().stream()
                 .filter(domain -> domain.fleet().equals(model.fleet()))
                 .filter(domain -> !homes.contains(domain) && room.get(domain) >= bytes)
-                .max(Comparator.comparingLong(domain -> score(model, domain)))
+                .max(Comparator.comparingLong(domain -> DomainRank.of(model, domain)))
                 .ifPresent(
                         domain -> {
                             homes.add(domain);
                             room.merge(domain, -bytes, Double::sum);
                         });
     }
-
-    private static long score(Identity model, Identity domain) {
-        return Hashing.komihash5_0()
-                .hashStream()
-                .putString(model.key())
-                .putString(domain.key())
-                .getAsLong();
-    }
 }
--- a/core/src/main/java/org/amaranthpick/core/placement/LayerFlow.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/LayerFlow.java
@@ -61,6 +61,11 @@
         return mChains[LayerTree.ROOT];
     }
 
+    /** Tells whether every layer of a node is held. */
+    boolean covers(int node) {
+        return mChains[node] > 0;
+    }
+
     /** Counts the layers that no engine holds. */
     int uncovered() {
         return uncovered(LayerTree.ROOT);
--- a/core/src/main/java/org/amaranthpick/core/placement/LeaseKeeper.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/LeaseKeeper.java
@@ -174,13 +174,15 @@
         Optional<LeaseRecord> record = record();
         long elapsedNs = mContext.scheduler().monotonicNs() - mSeenAtNs;
         long stepNs = mSettings.takeoverStep().toNanos() * rank;
-        if (record.isEmpty() || record.get().released()) {
+        if (record.filter(LeaseRecord::released).isPresent()) {
             return stepNs - elapsedNs;
         }
-        if (isMine(record.get())) {
+        if (record.filter(this::isMine).isPresent()) {
             return 0;
         }
-        return Duration.ofMillis(record.get().durationMs()).toNanos() + stepNs - elapsedNs;
+        long ownMs = mSettings.leaseDuration().toMillis();
+        long durationMs = record.map(LeaseRecord::durationMs).orElse(ownMs);
+        return Duration.ofMillis(durationMs).toNanos() + stepNs - elapsedNs;
     }
 
     private void take() {
--- a/core/src/main/java/org/amaranthpick/core/placement/NeedRanking.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/NeedRanking.java
@@ -84,6 +84,11 @@
         return new Need(model, THROUGHPUT, flow.total() / wanted);
     }
 
+    /** Tells whether no domain alone has room for a model. */
+    boolean spansDomains(int model) {
+        return mWants.spansDomains(model);
+    }
+
     /** Tells whether a domain may hold layers of a model. */
     boolean concerns(int model, Identity domain) {
         return mWants.mayHold(model, domain);
--- a/core/src/main/java/org/amaranthpick/core/placement/Rebalancer.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/Rebalancer.java
@@ -50,6 +50,7 @@
 
     private void runDomain(List<EngineView> engines) {
         Identity domain = engines.get(0).domain();
+        engines.forEach(this::leaveToOthers);
         Deque<Move> beyondBest = new ArrayDeque<>();
         double best = score(domain) + LEAST_SCORE_GAIN;
         for (int i = 0; i < MAX_MOVES_PER_DOMAIN; i++) {
@@ -85,6 +86,27 @@
         return Math.log(Math.min(1, need.ratio()) + LEAST_RATIO);
     }
 
+    /**
+     * Frees an engine for missing layers where a chain spans domains and a higher-ranked domain
+     * holds the same layers.
+     */
+    private void leaveToOthers(EngineView engine) {
+        List<Draft.Placed> before = mDraft.placed(engine);
+        if (before.size() != 1 || !mDraft.heldAbove(before.get(0), engine.domain())) {
+            return;
+        }
+        int model = before.get(0).model();
+        int uncovered = mDraft.pooled(model).uncovered();
+        if (uncovered == 0 || !mRanking.spansDomains(model)) {
+            return;
+        }
+        mDraft.replace(engine, List.of());
+        mDraft.add(engine, mRanking.place(engine, model));
+        if (mDraft.pooled(model).uncovered() >= uncovered) {
+            mDraft.replace(engine, before);
+        }
+    }
+
     private Optional<Move> moveOne(List<EngineView> engines) {
         List<Move> moves = new ArrayList<>();
         for (EngineView engine : engines) {
--- a/core/src/main/java/org/amaranthpick/core/placement/ShardJournal.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ShardJournal.java
@@ -55,7 +55,7 @@
                 end -> {
                     if (end == CasObject.End.FAILED) {
                         told.accept(Result.RETRY);
-                    } else if (record().fence() > fence) {
+                    } else if (record().fence() >= fence && !mObject.isOwn()) {
                         told.accept(Result.OVERTAKEN);
                     } else {
                         ShardRecord next = new ShardRecord(fence, 0, record().targets());
--- a/core/src/main/java/org/amaranthpick/core/placement/Wants.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/Wants.java
@@ -28,6 +28,11 @@
         return mHomes.isHome(id(model), domain);
     }
 
+    /** Tells whether no domain alone has room for a model. */
+    boolean spansDomains(int model) {
+        return mHomes.of(id(model)).isEmpty();
+    }
+
     /** Tells whether a domain may hold layers of a model. */
     boolean mayHold(int model, Identity domain) {
         if (!id(model).fleet().equals(domain.fleet())) {
