Wire membership and the configuration's spread into the daemon

Cause: each daemon knew only itself and read the store alone. Change: membership with the platform's host list (objects under hosts/) and seeds; configuration service with heartbeats' generations; leaving is announced when a drain starts. Seeds now name domain and region, since membership needs both: the approved text of the settings' faults changes with that format.

--- a/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
@@ -6,7 +6,11 @@
 import org.amaranthpick.core.config.ConfigurationInForce;
 import org.amaranthpick.core.config.ConfigurationService;
 import org.amaranthpick.core.config.ConfigurationStore;
-import org.amaranthpick.core.member.MemberView;
+import org.amaranthpick.core.member.Incarnations;
+import org.amaranthpick.core.member.Member;
+import org.amaranthpick.core.member.MemberState;
+import org.amaranthpick.core.member.Membership;
+import org.amaranthpick.core.member.MembershipSettings;
 import org.amaranthpick.core.observe.UpstreamPoller;
 import org.amaranthpick.core.peer.PeerNetwork;
 import org.amaranthpick.core.placement.PlacementContext;
@@ -17,21 +21,31 @@
 final class ControlPlane implements AutoCloseable {
     private static final int LOOP_RANDOM = 1;
     private static final int PLACEMENT_RANDOM = 2;
+    private static final int CONFIGURATION_RANDOM = 4;
+    private static final int MEMBERSHIP_RANDOM = 5;
 
     private final ConfigurationInForce mInForce;
     private final ConfigurationService mConfiguration;
-    private final MemberView mMembers;
+    private final Membership mMembers;
     private final Claims mClaims;
     private final PlacementService mPlacement;
     private final ControlLoop mLoop;
 
     ControlPlane(Foundation base) {
         PeerNetwork network = new SoloNetwork(base.settings().host());
-        mMembers = new SoloMembers(base.settings(), base.scheduler().instant().toEpochMilli());
+        mMembers = membership(base, network);
         mInForce = new ConfigurationInForce(base.invariants(), base.decisions());
         ConfigurationStore stored =
                 new ConfigurationStore(base.store(), base.scheduler(), base.tokens());
-        mConfiguration = new ConfigurationService(stored, base.scheduler(), mInForce);
+        mConfiguration =
+                new ConfigurationService(
+                        stored,
+                        mInForce,
+                        mMembers,
+                        network,
+                        base.controlScheduler(),
+                        base.random(CONFIGURATION_RANDOM));
+        mMembers.exchangeGenerations(mConfiguration);
         mClaims =
                 new JournalClaims(
                         ClaimSettings.defaults(),
@@ -54,6 +68,7 @@
     }
 
     void start() {
+        mMembers.start();
         mConfiguration.start();
     }
 
@@ -61,7 +76,11 @@
         return mInForce;
     }
 
-    MemberView members() {
+    ConfigurationService configurationService() {
+        return mConfiguration;
+    }
+
+    Membership members() {
         return mMembers;
     }
 
@@ -74,6 +93,27 @@
         mLoop.close();
         mPlacement.close();
         mConfiguration.close();
+        mMembers.close();
+    }
+
+    private static Membership membership(Foundation base, PeerNetwork network) {
+        Settings settings = base.settings();
+        Member self =
+                new Member(
+                        settings.host(),
+                        settings.peerAddress(),
+                        settings.domain(),
+                        settings.region(),
+                        Incarnations.atStart(base.scheduler().instant()),
+                        MemberState.ALIVE);
+        return new Membership(
+                self,
+                network,
+                new StoreHostDirectory(base.store(), settings.seeds()),
+                base.controlScheduler(),
+                base.random(MEMBERSHIP_RANDOM),
+                base.decisions(),
+                MembershipSettings.DEFAULT);
     }
 
     private PlacementContext placement(Foundation base, PeerNetwork network) {
--- a/server/src/main/java/org/amaranthpick/server/daemon/Daemon.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/Daemon.java
@@ -92,7 +92,7 @@
         if (mDraining.get()) {
             return Optional.of("draining");
         }
-        if (mControl.configuration().current().isEmpty()) {
+        if (!mControl.configurationService().isReady()) {
             return Optional.of("no configuration is in force yet");
         }
         return Optional.empty();
@@ -108,6 +108,7 @@
     public CompletionStage<Void> drain() {
         if (mDraining.compareAndSet(false, true)) {
             Settings settings = mBase.settings();
+            mControl.members().announceLeaving();
             sLogger.atInfo().log(
                     "%s draining %d requests.", PREFIX, mRequests.router().inProgress());
             mBase.scheduler().schedule(settings.balancerLag(), this::finish);
--- a/server/src/main/java/org/amaranthpick/server/daemon/Settings.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/Settings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.amaranthpick.core.member.ListedHost;
 import org.amaranthpick.core.member.PeerAddress;
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.server.caller.CallerLimits;
@@ -22,7 +23,7 @@
  * @param peerKeys shared keys of the daemons, the one to use first; a second is accepted during
  *     rotation
  * @param operatorToken credential of operators
- * @param seeds daemons to ask first, before the platform's host list is read
+ * @param seeds daemons known without the platform's host list
  * @param limits bounds on callers
  * @param drainGrace longest time that a shutdown waits for requests in progress
  * @param balancerLag time the balancer takes to stop sending after readiness fails
@@ -40,21 +41,13 @@
         Optional<String> storeToken,
         List<String> peerKeys,
         String operatorToken,
-        List<Seed> seeds,
+        List<ListedHost> seeds,
         CallerLimits limits,
         Duration drainGrace,
         Duration balancerLag,
         double storeCallsPerSecond,
         int ioThreads) {
 
-    /**
-     * Daemon known from the settings.
-     *
-     * @param host identity of its host
-     * @param address its peer address
-     */
-    public record Seed(Identity host, PeerAddress address) {}
-
     /** Copies the lists. */
     public Settings {
         peerKeys = List.copyOf(peerKeys);
--- a/server/src/main/java/org/amaranthpick/server/daemon/SettingsReader.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/SettingsReader.java
@@ -10,6 +10,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.amaranthpick.core.member.ListedHost;
 import org.amaranthpick.core.member.PeerAddress;
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.name.ResourceKind;
@@ -23,6 +26,9 @@
     /** Start of the environment variables: {@code --peer-key} is {@code AMARANTHPICK_PEER_KEY}. */
     public static final String ENVIRONMENT_PREFIX = "AMARANTHPICK_";
 
+    private static final Pattern SEED = Pattern.compile("([^@]+)@([^@]+)@([^@]+)@([^@]+)");
+    private static final String SEED_REMEDY =
+            "write fleet/entry-2@10.0.0.7:7400@fleet/domain@region";
     private static final int MIN_KEY_LENGTH = 16;
     private static final int MIN_DEFAULT_THREADS = 2;
 
@@ -95,8 +101,8 @@
         return keys;
     }
 
-    private List<Settings.Seed> seeds(String fleet) {
-        List<Settings.Seed> seeds = new ArrayList<>();
+    private List<ListedHost> seeds(String fleet) {
+        List<ListedHost> seeds = new ArrayList<>();
         String list = value("seeds").orElse("");
         for (String item : list.split(",", -1)) {
             if (!item.isBlank()) {
@@ -106,16 +112,20 @@
         return seeds;
     }
 
-    private Optional<Settings.Seed> seed(String fleet, String item) {
-        int at = item.indexOf('@');
+    private Optional<ListedHost> seed(String fleet, String item) {
+        Matcher matcher = SEED.matcher(item);
+        if (!matcher.matches()) {
+            fault("seeds", "\"" + item + "\" is not HOST@IP:PORT@DOMAIN@REGION", SEED_REMEDY);
+            return Optional.empty();
+        }
         try {
-            Identity host = Identity.resolve(fleet, ResourceKind.HOST, item.substring(0, at));
-            return Optional.of(new Settings.Seed(host, parseAddress(item.substring(at + 1))));
-        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
-            fault(
-                    "seeds",
-                    "\"" + item + "\" is not HOST@IP:PORT",
-                    "write fleet/host@10.0.0.7:7400");
+            Identity host = Identity.resolve(fleet, ResourceKind.HOST, matcher.group(1));
+            Identity domain = Identity.resolve(fleet, ResourceKind.DOMAIN, matcher.group(3));
+            Optional<PeerAddress> address = Optional.of(parseAddress(matcher.group(2)));
+            return Optional.of(
+                    new ListedHost(host, address, domain, matcher.group(4), Optional.empty()));
+        } catch (IllegalArgumentException e) {
+            fault("seeds", "holds \"" + item + "\": " + e.getMessage(), SEED_REMEDY);
             return Optional.empty();
         }
     }
--- a/server/src/test/java/org/amaranthpick/server/daemon/SettingsReaderTest.java
+++ b/server/src/test/java/org/amaranthpick/server/daemon/SettingsReaderTest.java
@@ -31,7 +31,7 @@
         flags.put("operator-token", "short");
         flags.put("drain-grace", "ten minutes");
         flags.put("max-open-requests", "-1");
-        flags.put("seeds", "kenanga/entry-2@10.0.0.2:7400,entry-3");
+        flags.put("seeds", "kenanga/entry-2@10.0.0.2:7400@kl-a@kl,entry-3,entry-4@4:4@kl-a@kl");
         SettingsReader reader = new SettingsReader(flags, Map.of());
         SettingsException e = assertThrows(SettingsException.class, reader::read);
         Approvals.verify(e.getMessage());
--- a/tools/src/main/java/org/amaranthpick/tools/SettingsOptions.java
+++ b/tools/src/main/java/org/amaranthpick/tools/SettingsOptions.java
@@ -50,7 +50,8 @@
 
     @Option(
             name = "--seeds",
-            description = "Daemons to ask first: HOST@IP:PORT, separated by commas.")
+            description =
+                    "Daemons known at the start: HOST@IP:PORT@DOMAIN@REGION, separated by commas.")
     private String mSeeds;
 
     @Option(name = "--max-body-bytes", description = "Largest request body in bytes.")
--- a/tools/src/main/java/org/amaranthpick/tools/demo/DemoDaemons.java
+++ b/tools/src/main/java/org/amaranthpick/tools/demo/DemoDaemons.java
@@ -72,7 +72,10 @@
     private static String seeds(List<Integer> peerPorts) {
         List<String> seeds = new ArrayList<>();
         for (int i = 0; i < peerPorts.size(); i++) {
-            seeds.add(fleet(i) + "/entry-" + (i + 1) + "@127.0.0.1:" + peerPorts.get(i));
+            String fleet = fleet(i);
+            String host = fleet + "/entry-" + (i + 1);
+            String place = fleet + "/zone-a@" + fleet + "-region";
+            seeds.add(host + "@127.0.0.1:" + peerPorts.get(i) + "@" + place);
         }
         return String.join(",", seeds);
     }
