Keep log lines of a graceful shutdown

Cause: the log library closes its handlers when the shutdown starts, so the lines of the drain were lost; seen with two daemons in processes of their own and SIGTERM. Change: a log manager that stays open; the process ends with code 0 after a drain.

--- a/tools/src/main/java/org/amaranthpick/tools/Main.java
+++ b/tools/src/main/java/org/amaranthpick/tools/Main.java
@@ -25,6 +25,7 @@
             StandInsCommand.class
         })
 public final class Main {
+    private static final String LOG_MANAGER_PROPERTY = "java.util.logging.manager";
     private static final String VERBOSE = "--verbose";
 
     private Main() {}
@@ -35,6 +36,7 @@
      * @param args command and its options
      */
     public static void main(String[] args) {
+        System.setProperty(LOG_MANAGER_PROPERTY, ShutdownSafeLogManager.class.getName());
         PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
         PrintStream err = new PrintStream(System.err, true, StandardCharsets.UTF_8);
         LogSetup.install(printsDecisions(args));
--- a/tools/src/main/java/org/amaranthpick/tools/ServeCommand.java
+++ b/tools/src/main/java/org/amaranthpick/tools/ServeCommand.java
@@ -32,14 +32,15 @@
     }
 
     private static void waitForDrain(Daemon daemon) {
-        Thread hook =
-                new Thread(
-                        () -> {
-                            daemon.drain().toCompletableFuture().join();
-                            daemon.close();
-                        },
-                        "amaranthpick-shutdown");
+        Thread hook = new Thread(() -> shutDown(daemon), "amaranthpick-shutdown");
         Runtime.getRuntime().addShutdownHook(hook);
         daemon.drained().toCompletableFuture().join();
     }
+
+    /** Ends the process with code 0, also after a signal, once nothing is in progress. */
+    private static void shutDown(Daemon daemon) {
+        daemon.drain().toCompletableFuture().join();
+        daemon.close();
+        Runtime.getRuntime().halt(ExitCode.OK);
+    }
 }
