Test claims over several daemons at random; mend what it found

Cause: claims were untested. Randomised runs over four daemons (deaths, standing still, wrong views of the owner, lost, slow and doubled messages, ambiguous, late and throttled writes, outages) found five faults. Change: call numbers start at a random number, for a reply to the process before a restart matched a call of the new one and gave a key another key's answer; released requests are remembered by request, not by key; an ask whose owner gave no answer is withdrawn unless granted; a doubled call is served once; a settling is not judged by a copy older than itself.

--- a/core/src/main/java/org/amaranthpick/core/claim/ClaimEntry.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ClaimEntry.java
@@ -22,28 +22,10 @@
         String holder,
         Optional<ClaimAnswer> answer) {
 
-    /**
-     * Makes the entry of a request that was given up before its claim was seen.
-     *
-     * @param settle release of the request
-     * @param nowMs wall-clock time, milliseconds
-     * @return entry by which a late ask of the request is refused
-     */
-    static ClaimEntry releasedUnseen(ClaimOperation.Settle settle, long nowMs) {
-        return new ClaimEntry(
-                settle.key(),
-                ClaimState.RELEASED,
-                settle.requestHash(),
-                0,
-                nowMs,
-                "",
-                Optional.empty());
-    }
-
     /**
      * Returns this entry in its last state; its holder no longer matters.
      *
-     * @param newState DONE, LOST or RELEASED
+     * @param newState DONE or LOST
      * @param newAnswer answer to keep
      * @return changed copy
      */
--- a/core/src/main/java/org/amaranthpick/core/claim/ClaimJournal.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ClaimJournal.java
@@ -22,19 +22,22 @@
     static final long RELEASED_MEMORY_MS = 600_000;
 
     private static final int FORMAT = 1;
-    private static final int HEAD_FIELDS = 3;
+    private static final int HEAD_FIELDS = 4;
 
     private final ClaimSettings mSettings;
     private final Map<KeyHash, ClaimEntry> mHead;
     private final Map<String, SealedSegment> mSegments;
+    private final Map<Long, Long> mReleasedAtMs;
 
     private ClaimJournal(
             ClaimSettings settings,
             Map<KeyHash, ClaimEntry> head,
-            Map<String, SealedSegment> segments) {
+            Map<String, SealedSegment> segments,
+            Map<Long, Long> releasedAtMs) {
         mSettings = settings;
         mHead = head;
         mSegments = segments;
+        mReleasedAtMs = releasedAtMs;
     }
 
     /**
@@ -44,7 +47,8 @@
      * @return empty journal
      */
     static ClaimJournal empty(ClaimSettings settings) {
-        return new ClaimJournal(settings, new LinkedHashMap<>(), new LinkedHashMap<>());
+        return new ClaimJournal(
+                settings, new LinkedHashMap<>(), new LinkedHashMap<>(), new LinkedHashMap<>());
     }
 
     /**
@@ -78,6 +82,10 @@
                 ClaimEntry entry = ClaimEntryCodec.unpack(unpacker);
                 journal.mHead.put(entry.key(), entry);
             }
+            int released = unpacker.unpackMapHeader();
+            for (int i = 0; i < released; i++) {
+                journal.mReleasedAtMs.put(unpacker.unpackLong(), unpacker.unpackLong());
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -101,6 +109,11 @@
             for (ClaimEntry entry : mHead.values()) {
                 ClaimEntryCodec.pack(entry, packer);
             }
+            packer.packMapHeader(mReleasedAtMs.size());
+            for (Map.Entry<Long, Long> released : mReleasedAtMs.entrySet()) {
+                packer.packLong(released.getKey());
+                packer.packLong(released.getValue());
+            }
             return packer.toByteArray();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -114,7 +127,10 @@
      */
     ClaimJournal copy() {
         return new ClaimJournal(
-                mSettings, new LinkedHashMap<>(mHead), new LinkedHashMap<>(mSegments));
+                mSettings,
+                new LinkedHashMap<>(mHead),
+                new LinkedHashMap<>(mSegments),
+                new LinkedHashMap<>(mReleasedAtMs));
     }
 
     /**
@@ -135,7 +151,12 @@
      */
     ShardReply apply(ClaimOperation operation, long nowMs) {
         Decision decision = decide(operation, nowMs);
-        decision.entry().ifPresent(entry -> mHead.put(entry.key(), entry));
+        if (decision.changes()) {
+            decision.entry().ifPresent(entry -> mHead.put(entry.key(), entry));
+            if (isRelease(operation)) {
+                release(operation, nowMs);
+            }
+        }
         return decision.reply();
     }
 
@@ -148,7 +169,7 @@
      */
     Optional<ShardReply> peek(ClaimOperation operation, long nowMs) {
         Decision decision = decide(operation, nowMs);
-        return decision.entry().isPresent() ? Optional.empty() : Optional.of(decision.reply());
+        return decision.changes() ? Optional.empty() : Optional.of(decision.reply());
     }
 
     /**
@@ -176,21 +197,18 @@
         if (operation instanceof ClaimOperation.Ask ask) {
             return ask(ask, entry, nowMs);
         }
-        return settle((ClaimOperation.Settle) operation, entry, nowMs);
+        return settle((ClaimOperation.Settle) operation, entry);
     }
 
     private Decision ask(ClaimOperation.Ask ask, Optional<ClaimEntry> found, long nowMs) {
+        if (mReleasedAtMs.containsKey(ask.requestHash())) {
+            return Decision.unchanged(ShardReply.notStored("the request was given up"));
+        }
         if (found.isEmpty()) {
             return grant(ask, nowMs);
         }
         ClaimEntry entry = found.get();
-        boolean sameRequest = entry.requestHash() == ask.requestHash();
-        if (entry.state() == ClaimState.RELEASED) {
-            return sameRequest
-                    ? Decision.unchanged(ShardReply.notStored("the request was given up"))
-                    : grant(ask, nowMs);
-        }
-        if (entry.state() == ClaimState.CLAIMED && sameRequest) {
+        if (entry.state() == ClaimState.CLAIMED && entry.requestHash() == ask.requestHash()) {
             return Decision.unchanged(ShardReply.of(ShardReply.Kind.GRANTED));
         }
         return Decision.unchanged(refuse(ask, entry));
@@ -222,21 +240,38 @@
                         nowMs,
                         ask.holder(),
                         Optional.empty());
-        return new Decision(ShardReply.of(ShardReply.Kind.GRANTED), Optional.of(entry));
+        return Decision.stored(ShardReply.Kind.GRANTED, entry);
+    }
+
+    private Decision settle(ClaimOperation.Settle settle, Optional<ClaimEntry> found) {
+        ShardReply settled = ShardReply.of(ShardReply.Kind.SETTLED);
+        if (isRelease(settle)) {
+            boolean known = mReleasedAtMs.containsKey(settle.requestHash());
+            return new Decision(settled, !known, Optional.empty());
+        }
+        return found.filter(entry -> isHeldBy(entry, settle))
+                .map(entry -> entry.settled(settle.state(), settle.answer()))
+                .map(entry -> Decision.stored(ShardReply.Kind.SETTLED, entry))
+                .orElse(Decision.unchanged(settled));
     }
 
-    private static Decision settle(
-            ClaimOperation.Settle settle, Optional<ClaimEntry> found, long nowMs) {
-        Optional<ClaimEntry> next = Optional.empty();
-        if (found.isPresent()) {
-            next =
-                    found.filter(entry -> entry.requestHash() == settle.requestHash())
-                            .filter(entry -> entry.state() == ClaimState.CLAIMED)
-                            .map(entry -> entry.settled(settle.state(), settle.answer()));
-        } else if (settle.state() == ClaimState.RELEASED) {
-            next = Optional.of(ClaimEntry.releasedUnseen(settle, nowMs));
+    /** Frees the key if the request holds it, and remembers the request against a late ask. */
+    private void release(ClaimOperation operation, long nowMs) {
+        ClaimEntry entry = mHead.get(operation.key());
+        if (entry != null && isHeldBy(entry, operation)) {
+            mHead.remove(operation.key());
         }
-        return new Decision(ShardReply.of(ShardReply.Kind.SETTLED), next);
+        mReleasedAtMs.put(operation.requestHash(), nowMs);
+    }
+
+    private static boolean isRelease(ClaimOperation operation) {
+        return operation instanceof ClaimOperation.Settle settle
+                && settle.state() == ClaimState.RELEASED;
+    }
+
+    private static boolean isHeldBy(ClaimEntry entry, ClaimOperation operation) {
+        return entry.state() == ClaimState.CLAIMED
+                && entry.requestHash() == operation.requestHash();
     }
 
     /**
@@ -246,7 +281,8 @@
      * @return names of the segments that are no longer named by the head
      */
     List<String> forget(long nowMs) {
-        mHead.values().removeIf(entry -> isForgotten(entry, nowMs));
+        mHead.values().removeIf(entry -> isExpired(entry.claimedAtMs(), nowMs));
+        mReleasedAtMs.values().removeIf(atMs -> nowMs - atMs > RELEASED_MEMORY_MS);
         List<String> dropped = new ArrayList<>();
         mSegments.forEach(
                 (name, segment) -> {
@@ -269,13 +305,6 @@
         return isExpired(segment.newestMs(), nowMs);
     }
 
-    private boolean isForgotten(ClaimEntry entry, long nowMs) {
-        if (entry.state() == ClaimState.RELEASED) {
-            return nowMs - entry.claimedAtMs() > RELEASED_MEMORY_MS;
-        }
-        return isExpired(entry.claimedAtMs(), nowMs);
-    }
-
     private boolean isExpired(long claimedAtMs, long nowMs) {
         long ageMs = nowMs - claimedAtMs;
         return ageMs > mSettings.expiry().plus(mSettings.skewMargin().multipliedBy(2)).toMillis();
@@ -326,11 +355,16 @@
      * Decision on one operation.
      *
      * @param reply reply
-     * @param entry entry to store, empty if nothing changes
+     * @param changes true if the journal changes
+     * @param entry entry to store, if one is
      */
-    private record Decision(ShardReply reply, Optional<ClaimEntry> entry) {
+    private record Decision(ShardReply reply, boolean changes, Optional<ClaimEntry> entry) {
         static Decision unchanged(ShardReply reply) {
-            return new Decision(reply, Optional.empty());
+            return new Decision(reply, false, Optional.empty());
+        }
+
+        static Decision stored(ShardReply.Kind kind, ClaimEntry entry) {
+            return new Decision(ShardReply.of(kind), true, Optional.of(entry));
         }
     }
 }
--- a/core/src/main/java/org/amaranthpick/core/claim/ClaimShard.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ClaimShard.java
@@ -48,6 +48,7 @@
     private Cancellable mTimer = () -> {};
     private Duration mBackoff = MIN_BACKOFF;
     private boolean mBusy;
+    private long mCallStartedNs;
     private long mSyncedNs;
     private long mNextCommitNs;
 
@@ -80,7 +81,7 @@
         boolean lingers = operation instanceof ClaimOperation.Settle;
         long commitByNs = lingers ? nowNs + mSettings.settleLinger().toNanos() : nowNs;
         PendingOperation pending =
-                new PendingOperation(operation, nowNs + validFor.toNanos(), commitByNs);
+                new PendingOperation(operation, nowNs, nowNs + validFor.toNanos(), commitByNs);
         mQueue.post(
                 () -> {
                     mPending.add(pending);
@@ -147,8 +148,7 @@
                 toWrite.add(pending);
             }
         }
-        boolean fresh = nowNs - mSyncedNs <= mSettings.cacheTrust().toNanos();
-        if (!answered.isEmpty() && !fresh) {
+        if (answered.keySet().stream().anyMatch(pending -> needsNewerCopy(pending, nowNs))) {
             load();
             return;
         }
@@ -156,8 +156,20 @@
         answered.forEach((pending, reply) -> pending.reply().complete(reply));
     }
 
+    /**
+     * Tells whether the copy of the journal is too old to say that an operation changes nothing: a
+     * refusal may be a little old, but a settling must not miss the claim that it settles.
+     */
+    private boolean needsNewerCopy(PendingOperation pending, long nowNs) {
+        if (pending.operation() instanceof ClaimOperation.Settle) {
+            return mSyncedNs - pending.submittedNs() < 0;
+        }
+        return nowNs - mSyncedNs > mSettings.cacheTrust().toNanos();
+    }
+
     private void load() {
         mBusy = true;
+        mCallStartedNs = mScheduler.monotonicNs();
         mCounters.onRead();
         var unused =
                 mStore.read(headPath())
@@ -214,7 +226,7 @@
         mJournal = Optional.of(journal);
         mSegments.keySet().retainAll(journal.segments().keySet());
         mHeadCondition = condition;
-        mSyncedNs = mScheduler.monotonicNs();
+        mSyncedNs = mCallStartedNs;
         mBackoff = MIN_BACKOFF;
         pump();
     }
@@ -230,7 +242,8 @@
 
     private void commit(ClaimJournal stored) {
         mBusy = true;
-        mNextCommitNs = mScheduler.monotonicNs() + mSettings.commitInterval().toNanos();
+        mCallStartedNs = mScheduler.monotonicNs();
+        mNextCommitNs = mCallStartedNs + mSettings.commitInterval().toNanos();
         ClaimJournal next = stored.copy();
         List<String> dropped = next.forget(nowMs());
         List<PendingOperation> batch = mPending;
@@ -304,7 +317,7 @@
         if (result instanceof WriteResult.Applied applied) {
             mJournal = Optional.of(work.next());
             mHeadCondition = new WriteCondition.AtVersion(applied.version());
-            mSyncedNs = mScheduler.monotonicNs();
+            mSyncedNs = mCallStartedNs;
             work.reply();
             work.dropped().forEach(this::deleteSegment);
             pump();
--- a/core/src/main/java/org/amaranthpick/core/claim/ClaimState.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ClaimState.java
@@ -10,7 +10,7 @@
     DONE(1),
     /** Its request may have run and its answer is lost. */
     LOST(2),
-    /** Its request did not run and never will; another request may claim the key. */
+    /** Its request did not run and never will. Never stored: the key is free again. */
     RELEASED(3);
 
     private final int mCode;
--- a/core/src/main/java/org/amaranthpick/core/claim/JournalClaims.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/JournalClaims.java
@@ -2,23 +2,16 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Duration;
-import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.ConcurrentHashMap;
 import org.amaranthpick.core.explain.DecisionKind;
 import org.amaranthpick.core.explain.DecisionLog;
-import org.amaranthpick.core.member.Member;
 import org.amaranthpick.core.member.MemberView;
-import org.amaranthpick.core.member.Rendezvous;
-import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.peer.PeerNetwork;
 import org.amaranthpick.core.store.ObjectStore;
 import org.amaranthpick.core.store.WriterTokens;
-import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.core.time.Scheduler;
 
 /**
@@ -27,20 +20,14 @@
  * matters for the number of writes only, never for safety.
  */
 public final class JournalClaims implements Claims {
-    private static final String PATH = "claims/shards/";
-    private static final String NO_ANSWER = "the claim was not answered in time";
     private static final Duration SETTLE_RETRY = Duration.ofSeconds(1);
 
     private final ClaimSettings mSettings;
     private final MemberView mMembers;
-    private final ObjectStore mStore;
-    private final WriterTokens mTokens;
     private final Scheduler mScheduler;
     private final DecisionLog mDecisions;
-    private final ClaimFormat mFormat;
-    private final PeerCalls mCalls;
-    private final ClaimCounters mCounters = new ClaimCounters();
-    private final Map<Integer, ClaimShard> mShards = new ConcurrentHashMap<>();
+    private final ShardStore mShards;
+    private final ShardRouter mRouter;
 
     /**
      * Creates the claims of this daemon and serves the calls of others.
@@ -63,13 +50,14 @@
             DecisionLog decisions) {
         mSettings = settings;
         mMembers = members;
-        mStore = store;
-        mTokens = tokens;
         mScheduler = scheduler;
         mDecisions = decisions;
-        mFormat = new ClaimFormat(settings.shards(), store, tokens);
-        mCalls = new PeerCalls(network, scheduler);
-        mCalls.serve(call -> performHere(call.operation(), call.validFor()));
+        mShards = new ShardStore(settings, store, tokens, scheduler);
+        long firstCallId =
+                Hashing.komihash5_0().hashStream().putLong(tokens.next().bootNonce()).getAsLong();
+        PeerCalls calls = new PeerCalls(network, scheduler, firstCallId);
+        calls.serve(call -> mShards.perform(call.operation(), call.validFor()));
+        mRouter = new ShardRouter(settings, members, scheduler, calls, mShards);
     }
 
     @Override
@@ -80,9 +68,14 @@
                         requestHash(requestId),
                         Hashing.komihash5_0().hashStream().putString(bodyDigest).getAsLong(),
                         mMembers.self().host().key());
-        ClaimTicket ticket = new ClaimTicket(key, requestId);
-        return perform(ask, mSettings.askTimeout())
-                .thenApply(reply -> toResult(ticket, ask, reply));
+        return mRouter.perform(ask, mSettings.askTimeout())
+                .thenApply(
+                        performed -> {
+                            if (performed.mayStillBeStored()) {
+                                withdraw(ask);
+                            }
+                            return toResult(new ClaimTicket(key, requestId), performed.reply());
+                        });
     }
 
     @Override
@@ -106,44 +99,10 @@
      * @return counters since the process started
      */
     public ClaimCounters counters() {
-        return mCounters;
+        return mShards.counters();
     }
 
-    private CompletionStage<Void> settle(
-            ClaimTicket ticket, ClaimState state, Optional<ClaimAnswer> answer, Duration timeout) {
-        ClaimOperation.Settle settle =
-                new ClaimOperation.Settle(
-                        KeyHash.of(ticket.key()), requestHash(ticket.requestId()), state, answer);
-        String label = state.name().toLowerCase(Locale.ROOT);
-        return performUntil(settle, mScheduler.monotonicNs() + timeout.toNanos())
-                .thenAccept(
-                        reply ->
-                                mDecisions.record(
-                                        DecisionKind.CLAIM,
-                                        ticket.requestId(),
-                                        label + (reply.isFailure() ? " not stored" : " stored")));
-    }
-
-    /** Tries a settling again until it is stored or its time is over. */
-    private CompletableFuture<ShardReply> performUntil(ClaimOperation.Settle settle, long untilNs) {
-        return perform(settle, mSettings.askTimeout().plus(mSettings.settleLinger()))
-                .thenCompose(
-                        reply -> {
-                            boolean over = untilNs - mScheduler.monotonicNs() <= 0;
-                            if (!reply.isFailure() || over) {
-                                return CompletableFuture.completedFuture(reply);
-                            }
-                            return later().thenCompose(done -> performUntil(settle, untilNs));
-                        });
-    }
-
-    private CompletableFuture<Void> later() {
-        CompletableFuture<Void> wait = new CompletableFuture<>();
-        var unused = mScheduler.schedule(SETTLE_RETRY, () -> wait.complete(null));
-        return wait;
-    }
-
-    private ClaimResult toResult(ClaimTicket ticket, ClaimOperation.Ask ask, ShardReply reply) {
+    private ClaimResult toResult(ClaimTicket ticket, ShardReply reply) {
         return switch (reply.kind()) {
             case GRANTED -> new ClaimResult.Granted(ticket);
             case KEPT -> new ClaimResult.Kept(reply.answer().orElseThrow());
@@ -152,24 +111,11 @@
                             ? new ClaimResult.InProgress()
                             : new ClaimResult.OutcomeUnknown();
             case REUSED -> new ClaimResult.Reused();
-            case UNAVAILABLE -> {
-                withdraw(ask);
-                yield new ClaimResult.Unavailable(reply.text());
-            }
-            case NOT_STORED -> new ClaimResult.Unavailable(reply.text());
+            case UNAVAILABLE, NOT_STORED -> new ClaimResult.Unavailable(reply.text());
             case OUTCOME_UNKNOWN, SETTLED -> new ClaimResult.OutcomeUnknown();
         };
     }
 
-    /** Makes sure that an ask whose answer was lost does not hold its key. */
-    private void withdraw(ClaimOperation.Ask ask) {
-        ClaimOperation.Settle release =
-                new ClaimOperation.Settle(
-                        ask.key(), ask.requestHash(), ClaimState.RELEASED, Optional.empty());
-        long untilNs = mScheduler.monotonicNs() + mSettings.releaseTimeout().toNanos();
-        var unused = performUntil(release, untilNs);
-    }
-
     private boolean holderLives(ShardReply reply) {
         long ageMs = mScheduler.instant().toEpochMilli() - reply.claimedAtMs();
         return ageMs <= mSettings.maxRequestTime().toMillis()
@@ -177,87 +123,48 @@
                         .anyMatch(member -> member.host().key().equals(reply.text()));
     }
 
-    private CompletableFuture<ShardReply> perform(ClaimOperation operation, Duration validFor) {
-        CompletableFuture<ShardReply> result = new CompletableFuture<>();
-        Cancellable timer =
-                mScheduler.schedule(
-                        validFor, () -> result.complete(ShardReply.unavailable(NO_ANSWER)));
-        var unused =
-                performAtOwner(operation, validFor)
-                        .whenComplete(
-                                (reply, error) -> {
-                                    timer.cancel();
-                                    result.complete(
-                                            error == null
-                                                    ? reply
-                                                    : ShardReply.unavailable(error.toString()));
-                                });
-        return result;
-    }
-
-    private CompletableFuture<ShardReply> performAtOwner(
-            ClaimOperation operation, Duration validFor) {
-        Optional<Identity> owner = ownerOf(operation.key());
-        if (owner.isEmpty()) {
-            return performHere(operation, validFor);
-        }
-        Duration timeout = peerTimeout(operation);
-        return mCalls.call(owner.get(), operation, validFor, timeout)
-                .thenCompose(
-                        reply ->
-                                reply.map(CompletableFuture::completedFuture)
-                                        .orElseGet(
-                                                () ->
-                                                        performInstead(
-                                                                operation,
-                                                                validFor.minus(timeout))));
-    }
-
-    private Duration peerTimeout(ClaimOperation operation) {
-        return operation instanceof ClaimOperation.Settle
-                ? mSettings.peerTimeout().plus(mSettings.settleLinger())
-                : mSettings.peerTimeout();
+    private CompletionStage<Void> settle(
+            ClaimTicket ticket, ClaimState state, Optional<ClaimAnswer> answer, Duration timeout) {
+        ClaimOperation.Settle settle =
+                new ClaimOperation.Settle(
+                        KeyHash.of(ticket.key()), requestHash(ticket.requestId()), state, answer);
+        String label = state.name().toLowerCase(Locale.ROOT);
+        return settleUntil(settle, mScheduler.monotonicNs() + timeout.toNanos())
+                .thenAccept(
+                        stored ->
+                                mDecisions.record(
+                                        DecisionKind.CLAIM,
+                                        ticket.requestId(),
+                                        label + (stored ? " stored" : " not stored")));
     }
 
-    /** Performs here what the owner did not answer; the owner may perform it as well. */
-    private CompletableFuture<ShardReply> performInstead(
-            ClaimOperation operation, Duration validFor) {
-        return performHere(operation, validFor)
-                .thenApply(
-                        reply ->
-                                reply.kind() == ShardReply.Kind.NOT_STORED
-                                        ? ShardReply.unavailable(reply.text())
-                                        : reply);
+    /** Makes sure that an ask whose answer was lost does not hold its key. */
+    private void withdraw(ClaimOperation.Ask ask) {
+        ClaimOperation.Settle release =
+                new ClaimOperation.Settle(
+                        ask.key(), ask.requestHash(), ClaimState.RELEASED, Optional.empty());
+        long untilNs = mScheduler.monotonicNs() + mSettings.releaseTimeout().toNanos();
+        var unused = settleUntil(release, untilNs);
     }
 
-    private CompletableFuture<ShardReply> performHere(ClaimOperation operation, Duration validFor) {
-        ClaimShard shard =
-                mShards.computeIfAbsent(operation.key().shard(mSettings.shards()), this::open);
-        return mFormat.check()
-                .toCompletableFuture()
+    /** Tries a settling again until it is stored or its time is over. */
+    private CompletableFuture<Boolean> settleUntil(ClaimOperation.Settle settle, long untilNs) {
+        Duration validFor = mSettings.askTimeout().plus(mSettings.settleLinger());
+        return mRouter.perform(settle, validFor)
                 .thenCompose(
-                        fault ->
-                                fault.isEmpty()
-                                        ? shard.submit(operation, validFor)
-                                        : CompletableFuture.completedFuture(
-                                                ShardReply.notStored(fault)));
-    }
-
-    /** Returns the daemon that writes the journal for all, empty if it is this one. */
-    private Optional<Identity> ownerOf(KeyHash key) {
-        String shard = PATH + key.shard(mSettings.shards());
-        List<Member> candidates =
-                mMembers.members().stream().filter(m -> m.state().acceptsWork()).toList();
-        Identity self = mMembers.self().host();
-        return Rendezvous.rank(shard, candidates, 1).stream()
-                .map(Member::host)
-                .filter(host -> !host.equals(self))
-                .findFirst();
+                        performed -> {
+                            boolean stored = !performed.reply().isFailure();
+                            if (stored || untilNs - mScheduler.monotonicNs() <= 0) {
+                                return CompletableFuture.completedFuture(stored);
+                            }
+                            return later().thenCompose(done -> settleUntil(settle, untilNs));
+                        });
     }
 
-    private ClaimShard open(int shard) {
-        String path = PATH + shard + "/";
-        return new ClaimShard(path, mSettings, mStore, mTokens, mScheduler, mCounters);
+    private CompletableFuture<Void> later() {
+        CompletableFuture<Void> wait = new CompletableFuture<>();
+        var unused = mScheduler.schedule(SETTLE_RETRY, () -> wait.complete(null));
+        return wait;
     }
 
     private long requestHash(String requestId) {
--- a/core/src/main/java/org/amaranthpick/core/claim/PeerCalls.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/PeerCalls.java
@@ -1,8 +1,11 @@
 package org.amaranthpick.core.claim;
 
 import java.time.Duration;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -19,11 +22,21 @@
     private final Scheduler mScheduler;
     private final Map<Long, CompletableFuture<Optional<ShardReply>>> mWaiting =
             new ConcurrentHashMap<>();
-    private final AtomicLong mCallId = new AtomicLong();
+    private final Set<Served> mServed = Collections.newSetFromMap(new RecentCalls());
+    private final AtomicLong mCallId;
 
-    PeerCalls(PeerNetwork network, Scheduler scheduler) {
+    /**
+     * Registers for replies.
+     *
+     * @param network messages to other daemons
+     * @param scheduler timers
+     * @param firstCallId number drawn at random at the process start, so that a reply to an earlier
+     *     process of this host never matches a call of this one
+     */
+    PeerCalls(PeerNetwork network, Scheduler scheduler, long firstCallId) {
         mNetwork = network;
         mScheduler = scheduler;
+        mCallId = new AtomicLong(firstCallId);
         network.handle(ClaimMessage.REPLY_TAG, (from, message) -> onReply(message));
     }
 
@@ -72,7 +85,7 @@
             Identity from,
             PeerMessage message,
             Function<ClaimMessage.Call, CompletableFuture<ShardReply>> shards) {
-        if (message instanceof ClaimMessage.Call call) {
+        if (message instanceof ClaimMessage.Call call && isFirst(from, call.callId())) {
             var unused =
                     shards.apply(call)
                             .thenAccept(
@@ -82,4 +95,29 @@
                                                     new ClaimMessage.Reply(call.callId(), reply)));
         }
     }
+
+    private boolean isFirst(Identity from, long callId) {
+        synchronized (mServed) {
+            return mServed.add(new Served(from, callId));
+        }
+    }
+
+    /**
+     * Call that was served.
+     *
+     * @param from host of the caller
+     * @param callId number of the call
+     */
+    private record Served(Identity from, long callId) {}
+
+    /** The newest calls served, so that a doubled message is served once. */
+    private static final class RecentCalls extends LinkedHashMap<Served, Boolean> {
+        private static final long serialVersionUID = 1L;
+        private static final int MAX_CALLS = 4096;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Served, Boolean> eldest) {
+            return size() > MAX_CALLS;
+        }
+    }
 }
--- a/core/src/main/java/org/amaranthpick/core/claim/PendingOperation.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/PendingOperation.java
@@ -5,6 +5,7 @@
 /** Operation that waits for its shard. Confined to the shard's event queue. */
 final class PendingOperation {
     private final ClaimOperation mOperation;
+    private final long mSubmittedNs;
     private final long mExpiresNs;
     private final long mCommitByNs;
     private final CompletableFuture<ShardReply> mReply = new CompletableFuture<>();
@@ -14,12 +15,14 @@
      * Creates a waiting operation.
      *
      * @param operation operation
+     * @param submittedNs monotonic time at which it came
      * @param expiresNs monotonic time at which it is given up
      * @param commitByNs monotonic time by which it is to be written, so that others may share the
      *     write
      */
-    PendingOperation(ClaimOperation operation, long expiresNs, long commitByNs) {
+    PendingOperation(ClaimOperation operation, long submittedNs, long expiresNs, long commitByNs) {
         mOperation = operation;
+        mSubmittedNs = submittedNs;
         mExpiresNs = expiresNs;
         mCommitByNs = commitByNs;
     }
@@ -28,6 +31,10 @@
         return mOperation;
     }
 
+    long submittedNs() {
+        return mSubmittedNs;
+    }
+
     long expiresNs() {
         return mExpiresNs;
     }
--- /dev/null
+++ b/core/src/test/java/org/amaranthpick/core/request/FakeNetwork.java
@@ -0,0 +1,101 @@
+package org.amaranthpick.core.request;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.amaranthpick.core.claim.ClaimCodecs;
+import org.amaranthpick.core.name.Identity;
+import org.amaranthpick.core.peer.MessageCodec;
+import org.amaranthpick.core.peer.PeerHandler;
+import org.amaranthpick.core.peer.PeerMessage;
+import org.amaranthpick.core.peer.PeerNetwork;
+import org.amaranthpick.core.time.VirtualScheduler;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+/** Messages between processes: encoded, delayed, lost, doubled. */
+final class FakeNetwork {
+    private final VirtualScheduler mTime;
+    private final RandomGenerator mRandom;
+    private final Map<Identity, Port> mPorts = new HashMap<>();
+    double mLost;
+    double mSlow;
+
+    FakeNetwork(VirtualScheduler time, RandomGenerator random) {
+        mTime = time;
+        mRandom = random;
+    }
+
+    /** Opens the port of a process; an earlier process of the host is cut off. */
+    Port open(Identity host, FakeNode node) {
+        Port port = new Port(host, node);
+        mPorts.put(host, port);
+        return port;
+    }
+
+    /** Port of one process. */
+    final class Port implements PeerNetwork {
+        private final Identity mHost;
+        private final FakeNode mNode;
+        private final Map<Integer, PeerHandler> mHandlers = new HashMap<>();
+
+        Port(Identity host, FakeNode node) {
+            mHost = host;
+            mNode = node;
+        }
+
+        @Override
+        public void send(Identity to, PeerMessage message) {
+            if (mRandom.nextDouble() < mLost) {
+                return;
+            }
+            byte[] bytes = encode(message);
+            int copies = mRandom.nextDouble() < mLost ? 2 : 1;
+            for (int i = 0; i < copies; i++) {
+                var unused = mTime.schedule(delay(), () -> deliver(to, message.tag(), bytes));
+            }
+        }
+
+        @Override
+        public void handle(int tag, PeerHandler handler) {
+            mHandlers.put(tag, handler);
+        }
+
+        private void deliver(Identity to, int tag, byte[] bytes) {
+            Port port = mPorts.get(to);
+            if (port != null) {
+                port.mNode.run(() -> port.mHandlers.get(tag).onMessage(mHost, decode(tag, bytes)));
+            }
+        }
+
+        private Duration delay() {
+            boolean slow = mRandom.nextDouble() < mSlow;
+            return Duration.ofMillis(slow ? mRandom.nextInt(6_000) : 1 + mRandom.nextInt(20));
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    private static byte[] encode(PeerMessage message) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            ((MessageCodec<PeerMessage>) codec(message.tag())).pack(message, packer);
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static PeerMessage decode(int tag, byte[] bytes) {
+        try {
+            return codec(tag).unpack(MessagePack.newDefaultUnpacker(bytes));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static MessageCodec<?> codec(int tag) {
+        return ClaimCodecs.all().stream().filter(c -> c.tag() == tag).findFirst().orElseThrow();
+    }
+}
--- a/core/src/test/java/org/amaranthpick/core/request/FakeUpstreams.java
+++ b/core/src/test/java/org/amaranthpick/core/request/FakeUpstreams.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -34,10 +36,11 @@
     private final Scheduler mScheduler;
     private final List<GenerateCall> mCalls = new ArrayList<>();
     private final List<String> mRuns = new ArrayList<>();
+    private final Map<String, List<String>> mPromptRuns = new HashMap<>();
     private final List<Stream> mStreams = new ArrayList<>();
     private Function<GenerateCall, Script> mScripts = call -> Script.NONE;
     private Function<ServiceCall, ServiceReply> mService =
-            call -> new ServiceReply.Answered(200, java.util.Map.of(), new byte[] {'o', 'k'});
+            call -> new ServiceReply.Answered(200, Map.of(), new byte[] {'o', 'k'});
 
     /** Where a fault strikes. */
     enum Step {
@@ -94,6 +97,11 @@
         return mRuns.stream().filter(requestId::equals).count();
     }
 
+    /** Lists the requests with a prompt that ran, once per attempt. */
+    List<String> runsOfPrompt(String prompt) {
+        return mPromptRuns.getOrDefault(prompt, List.of());
+    }
+
     static String text(String requestId, int index) {
         return requestId + ":" + index + " ";
     }
@@ -182,6 +190,9 @@
                 return;
             }
             mRuns.add(mCall.requestId());
+            mPromptRuns
+                    .computeIfAbsent(mCall.prompt(), p -> new ArrayList<>())
+                    .add(mCall.requestId());
             if (fails(Step.AFTER_SEND) || fails(Step.BEFORE_SEND)) {
                 return;
             }
--- a/core/src/test/java/org/amaranthpick/core/request/RequestFixture.java
+++ b/core/src/test/java/org/amaranthpick/core/request/RequestFixture.java
@@ -34,8 +34,10 @@
 import org.amaranthpick.core.route.Hop;
 import org.amaranthpick.core.route.KvSource;
 import org.amaranthpick.core.time.Cancellable;
+import org.amaranthpick.core.time.Scheduler;
 import org.amaranthpick.core.time.VirtualScheduler;
 import org.amaranthpick.core.upstream.ServiceCall;
+import org.amaranthpick.core.upstream.UpstreamClient;
 
 /** One router over fakes on virtual time. */
 final class RequestFixture {
@@ -47,7 +49,7 @@
 
     final VirtualScheduler mScheduler;
     final FakeUpstreams mUpstreams;
-    final Invariants mInvariants = new Invariants();
+    final Invariants mInvariants;
     final DecisionTrail mTrail;
     final FakeFeedback mFeedback = new FakeFeedback();
     final FakeAdmission mAdmission = new FakeAdmission();
@@ -77,9 +79,19 @@
         this(claims, new VirtualScheduler(START));
     }
 
-    RequestFixture(Claims claims, VirtualScheduler scheduler) {
-        mScheduler = scheduler;
-        mUpstreams = new FakeUpstreams(scheduler);
+    private RequestFixture(Claims claims, VirtualScheduler scheduler) {
+        this(claims, scheduler, scheduler, new FakeUpstreams(scheduler), new Invariants());
+    }
+
+    RequestFixture(
+            Claims claims,
+            VirtualScheduler time,
+            Scheduler scheduler,
+            UpstreamClient upstreams,
+            Invariants invariants) {
+        mScheduler = time;
+        mInvariants = invariants;
+        mUpstreams = upstreams instanceof FakeUpstreams fake ? fake : new FakeUpstreams(time);
         mTrail = new DecisionTrail(scheduler, 100);
         mConfiguration = new Configuration(1, "digest", manifest());
         mRouter =
@@ -90,7 +102,7 @@
                                 mAdmission,
                                 mRetries,
                                 claims,
-                                mUpstreams,
+                                upstreams,
                                 new SpreadInstances(DOMAIN, upstream -> true),
                                 new EstimatingPromptAnalyzer(),
                                 scheduler,
@@ -109,12 +121,21 @@
 
     CallerRequest request(
             String requestId, boolean idempotent, Optional<String> key, Optional<Instant> until) {
+        return request(requestId, "prompt", idempotent, key, until);
+    }
+
+    CallerRequest request(
+            String requestId,
+            String prompt,
+            boolean idempotent,
+            Optional<String> key,
+            Optional<Instant> until) {
         return new CallerRequest(
                 requestId,
                 mConfiguration,
                 mWorkspace,
                 mPipeline,
-                "prompt",
+                prompt,
                 16,
                 5,
                 until,
