--- a/core/src/main/java/org/amaranthpick/core/placement/ChainGuard.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ChainGuard.java
@@ -1,8 +1,9 @@
 package org.amaranthpick.core.placement;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.amaranthpick.core.manifest.LayerRange;
 import org.amaranthpick.core.manifest.ModelVersionSpec;
 import org.amaranthpick.core.manifest.UpstreamSpec;
@@ -10,9 +11,10 @@
 
 /**
  * Refuses orders that would take a pipeline's last working chain. Owners of different shards act at
- * once on views that lag; so a domain relies only on its own engines and on domains that rank above
- * it for the model version. The highest-ranked domain that takes layers away then leaves a chain
- * that no lower-ranked one can break.
+ * once on views that lag; so a domain that has a chain of its own, or together with domains that
+ * rank above it for the model version, keeps one there. The highest-ranked domain that takes layers
+ * away then leaves a chain that no lower-ranked one can break. A domain without such a chain may
+ * change an engine if any chain is left elsewhere.
  */
 final class ChainGuard {
     private final EngineSurvey mSurvey;
@@ -28,28 +30,32 @@
      *
      * @param model model version
      * @param engine engine that is to change
-     * @param keeps ranges of the model version that the engine keeps while it changes
      * @param held engines that are held back from routing, or changing, already
      * @return true if a chain is left, or there is none to lose
      */
-    boolean allows(
-            ModelVersionSpec model, Identity engine, List<LayerRange> keeps, Set<Identity> held) {
-        List<LayerRange> known = new ArrayList<>();
-        List<LayerRange> left = new ArrayList<>(keeps);
-        for (EngineSurvey.Entry entry : mSurvey.entries().values()) {
-            Identity id = entry.spec().id();
-            List<LayerRange> ranges = ranges(entry, model.id());
-            known.addAll(ranges);
-            boolean stays = entry.usable() && !held.contains(id) && !id.equals(engine);
-            if (stays && reliesOn(model.id(), entry.spec().domain())) {
-                left.addAll(ranges);
-            }
+    boolean allows(ModelVersionSpec model, Identity engine, Set<Identity> held) {
+        Set<Identity> gone = new HashSet<>(held);
+        gone.add(engine);
+        Predicate<EngineSurvey.Entry> relied = e -> reliesOn(model.id(), e.spec().domain());
+        Predicate<EngineSurvey.Entry> left = e -> e.usable() && !gone.contains(e.spec().id());
+        Collection<LayerRange> known = ranges(model, relied);
+        if (hasChain(model, known)) {
+            return keepsChain(model, known, ranges(model, relied.and(left)));
         }
+        return keepsChain(model, ranges(model, e -> true), ranges(model, left));
+    }
+
+    private static boolean hasChain(ModelVersionSpec model, Collection<LayerRange> ranges) {
+        return ChainCover.isCovered(model.layers(), ranges);
+    }
+
+    private static boolean keepsChain(
+            ModelVersionSpec model, Collection<LayerRange> before, Collection<LayerRange> after) {
         int layers = model.layers();
-        if (ChainCover.isChain(layers, known)) {
-            return ChainCover.isChain(layers, left);
+        if (ChainCover.isChain(layers, before)) {
+            return ChainCover.isChain(layers, after);
         }
-        return !ChainCover.isCovered(layers, known) || ChainCover.isCovered(layers, left);
+        return !ChainCover.isCovered(layers, before) || ChainCover.isCovered(layers, after);
     }
 
     private boolean reliesOn(Identity model, Identity domain) {
@@ -57,9 +63,12 @@
                 || DomainRank.of(model, domain) > DomainRank.of(model, mDomain);
     }
 
-    private static List<LayerRange> ranges(EngineSurvey.Entry entry, Identity model) {
-        return entry.held().stream()
-                .filter(holding -> holding.modelVersion().equals(model))
+    private Collection<LayerRange> ranges(
+            ModelVersionSpec model, Predicate<EngineSurvey.Entry> filter) {
+        return mSurvey.entries().values().stream()
+                .filter(filter)
+                .flatMap(entry -> entry.held().stream())
+                .filter(holding -> holding.modelVersion().equals(model.id()))
                 .map(UpstreamSpec.Holding::layers)
                 .toList();
     }
--- a/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
@@ -16,6 +16,7 @@
 
 /** Control shard of one failure domain as seen by one daemon. Guarded by its own lock. */
 final class ControlShard {
+    private static final long PINNED_NS = 300_000_000_000L;
     private static final long HAND_OVER_NS = 60_000_000_000L;
 
     private final Identity mDomain;
@@ -28,7 +29,8 @@
     private final OrderSender mSender;
     private final OrderIssuer mIssuer;
     private final ModelNeeds mNeeds;
-    private Map<Identity, List<UpstreamSpec.Holding>> mTold = Map.of();
+    private Map<Identity, List<UpstreamSpec.Holding>> mTold = new HashMap<>();
+    private final Map<Identity, Long> mPinnedUntilNs = new HashMap<>();
     private Set<Identity> mUnusable = Set.of();
     private long mFence;
     private long mFenceFloor;
@@ -112,7 +114,7 @@
         if (mPhase != Phase.IDLE) {
             mPhase = Phase.IDLE;
             mHolds.stop();
-            mTold = Map.of();
+            mTold = new HashMap<>();
         }
     }
 
@@ -197,11 +199,13 @@
     private void plan(Configuration configuration, EngineSurvey survey) {
         logUsability(survey);
         List<ModelNeed> needs = mNeeds.current(configuration);
+        Set<Identity> pinned = pinned();
         PlanInput input =
                 new PlanInput(
                         survey.views(this::heldOrTold),
                         needs,
                         Set.of(mDomain),
+                        pinned,
                         cutOff(configuration));
         Plan plan = mPolicy.planner().plan(input);
         logChanges(survey, plan);
@@ -220,6 +224,18 @@
         return told != null && !told.isEmpty() ? told : entry.held();
     }
 
+    /** Engines that must stay as they are for a while, so that the plan is made around them. */
+    private Set<Identity> pinned() {
+        long nowNs = mContext.scheduler().monotonicNs();
+        mPinnedUntilNs.values().removeIf(untilNs -> nowNs >= untilNs);
+        for (Identity engine : mIssuer.blocked()) {
+            mPinnedUntilNs.put(engine, nowNs + PINNED_NS);
+            mTold.remove(engine);
+            log(engine, "keeps what it holds: its change would take the last chain");
+        }
+        return mPinnedUntilNs.keySet();
+    }
+
     private Set<Identity> cutOff(Configuration configuration) {
         return configuration.manifest().domains().stream()
                 .map(DomainSpec::id)
--- a/core/src/main/java/org/amaranthpick/core/placement/Draft.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/Draft.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.core.placement;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,8 @@
     /** Share of an engine's memory that new weights may take; the rest is KV cache and adapters. */
     static final double WEIGHT_SHARE = 0.7;
 
+    private static final int PINNED_WEIGHT = 1_000;
+
     private final List<ModelNeed> mModels;
     private final Set<Identity> mCutOff;
     private final Map<Identity, Integer> mModelIndex = new HashMap<>();
@@ -46,12 +49,16 @@
     }
 
     private static List<LayerRange> heldRanges(PlanInput input, Identity model) {
-        return input.engines().stream()
-                .filter(EngineView::usable)
-                .flatMap(engine -> engine.holdings().stream())
-                .filter(holding -> holding.modelVersion().equals(model))
-                .map(UpstreamSpec.Holding::layers)
-                .toList();
+        List<LayerRange> ranges = new ArrayList<>();
+        for (EngineView engine : input.engines()) {
+            int weight = input.pinned().contains(engine.id()) ? PINNED_WEIGHT : 1;
+            for (UpstreamSpec.Holding holding : engine.holdings()) {
+                if (engine.usable() && holding.modelVersion().equals(model)) {
+                    ranges.addAll(Collections.nCopies(weight, holding.layers()));
+                }
+            }
+        }
+        return ranges;
     }
 
     /** Finds the node that a holding stands for. */
--- a/core/src/main/java/org/amaranthpick/core/placement/EngineOrder.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/EngineOrder.java
@@ -34,6 +34,9 @@
     /** Whether an order is under way. */
     boolean mSending;
 
+    /** Monotonic time since which the last chain stands in the way, if it does. */
+    Optional<Long> mBlockedSinceNs = Optional.empty();
+
     /** Last reason for waiting that was logged. */
     String mLoggedReason = "";
 
--- a/core/src/main/java/org/amaranthpick/core/placement/HoldAnnouncer.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/HoldAnnouncer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -70,6 +71,18 @@
         return Set.copyOf(mHolds.keySet());
     }
 
+    /** Returns the engines held back for a model version. */
+    Set<Identity> held(Identity modelVersion) {
+        Set<Identity> held = new HashSet<>();
+        mHolds.forEach(
+                (id, hold) -> {
+                    if (hold.modelVersions().contains(modelVersion)) {
+                        held.add(id);
+                    }
+                });
+        return held;
+    }
+
     /** Tells whether an engine is held back for all given model versions. */
     boolean holds(Identity engine, Set<Identity> modelVersions) {
         Hold hold = mHolds.get(engine);
--- a/core/src/main/java/org/amaranthpick/core/placement/Holdings.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/Holdings.java
@@ -2,7 +2,6 @@
 
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.amaranthpick.core.manifest.ModelVersionSpec;
@@ -23,21 +22,21 @@
         return held.stream().allMatch(h -> target.stream().anyMatch(t -> includes(t, h)));
     }
 
+    /** Returns the model versions of which something held has to go. */
+    static Set<Identity> changed(
+            List<UpstreamSpec.Holding> target, List<UpstreamSpec.Holding> held) {
+        return held.stream()
+                .filter(h -> target.stream().noneMatch(t -> includes(t, h)))
+                .map(UpstreamSpec.Holding::modelVersion)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     private static boolean includes(UpstreamSpec.Holding target, UpstreamSpec.Holding held) {
         return target.modelVersion().equals(held.modelVersion())
                 && target.layers().equals(held.layers())
                 && new HashSet<>(target.adapters()).containsAll(held.adapters());
     }
 
-    /** Returns the layers in common use that both sides hold alike. */
-    static Optional<UpstreamSpec.Holding> find(
-            List<UpstreamSpec.Holding> holdings, UpstreamSpec.Holding wanted) {
-        return holdings.stream()
-                .filter(h -> h.modelVersion().equals(wanted.modelVersion()))
-                .filter(h -> h.layers().equals(wanted.layers()))
-                .findFirst();
-    }
-
     /** Returns the model versions held. */
     static Set<Identity> models(List<UpstreamSpec.Holding> holdings) {
         return holdings.stream()
--- a/core/src/main/java/org/amaranthpick/core/placement/LayerTreePlanner.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/LayerTreePlanner.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Function;
 import org.amaranthpick.core.manifest.UpstreamSpec;
 import org.amaranthpick.core.name.Identity;
 
@@ -18,16 +19,34 @@
  */
 public final class LayerTreePlanner implements Planner {
     private static final double KEPT_WEIGHT_SHARE = 0.95;
+    private static final double LEAST_REPACK_GAIN = 1;
 
     @Override
     public Plan plan(PlanInput input) {
+        Attempt best = attempt(input);
+        if (best.lacking().isEmpty()) {
+            return best.result();
+        }
+        for (PlanInput repacked : List.of(withoutLacking(input, best.lacking()), empty(input))) {
+            Attempt next = attempt(repacked);
+            if (next.score() > best.score() + LEAST_REPACK_GAIN) {
+                best = next;
+            }
+            if (best.lacking().isEmpty()) {
+                break;
+            }
+        }
+        return best.result();
+    }
+
+    private static Attempt attempt(PlanInput input) {
         Draft draft = new Draft(input);
         NeedRanking ranking = new NeedRanking(draft, new Wants(input));
         List<EngineView> own = new ArrayList<>();
         for (EngineView engine : input.engines()) {
             if (engine.usable()) {
                 keep(draft, engine);
-                if (input.planned().contains(engine.domain())) {
+                if (input.mayChange(engine)) {
                     own.add(engine);
                 }
             }
@@ -40,7 +59,36 @@
         fill(draft, ranking, own);
         shareEngines(draft, ranking, own);
         new Rebalancer(draft, ranking).run(own);
-        return result(draft, ranking, own);
+        return new Attempt(input, draft, ranking, own);
+    }
+
+    /** Forgets what the planned domains hold of model versions that lack a chain there. */
+    private static PlanInput withoutLacking(PlanInput input, Set<Lack> lacking) {
+        return changed(
+                input,
+                engine ->
+                        engine.holdings().stream()
+                                .filter(
+                                        h ->
+                                                !lacking.contains(
+                                                        new Lack(
+                                                                h.modelVersion(), engine.domain())))
+                                .toList());
+    }
+
+    /** Forgets what the planned domains hold. */
+    static PlanInput empty(PlanInput input) {
+        return changed(input, engine -> List.of());
+    }
+
+    private static PlanInput changed(
+            PlanInput input, Function<EngineView, List<UpstreamSpec.Holding>> holdings) {
+        List<EngineView> engines =
+                input.engines().stream()
+                        .map(e -> input.mayChange(e) ? e.holding(holdings.apply(e)) : e)
+                        .toList();
+        return new PlanInput(
+                engines, input.models(), input.planned(), input.pinned(), input.cutOff());
     }
 
     private static void keep(Draft draft, EngineView engine) {
@@ -97,15 +145,36 @@
         return draft.placed(engine).stream().anyMatch(p -> p.model() == model);
     }
 
-    private static Plan result(Draft draft, NeedRanking ranking, List<EngineView> own) {
-        Map<Identity, List<UpstreamSpec.Holding>> targets = new HashMap<>();
-        for (EngineView engine : own) {
-            targets.put(engine.id(), AdapterFit.holdings(draft, engine));
+    private record Lack(Identity model, Identity domain) {}
+
+    private record Attempt(
+            PlanInput input, Draft draft, NeedRanking ranking, List<EngineView> own) {
+        double score() {
+            return input.planned().stream()
+                    .mapToDouble(domain -> PlanScore.of(draft, ranking, domain))
+                    .sum();
         }
-        Map<Identity, Double> flows = new HashMap<>();
-        for (int model = 0; model < draft.models().size(); model++) {
-            flows.put(draft.models().get(model).model().id(), ranking.throughput(model));
+
+        Set<Lack> lacking() {
+            Set<Lack> lacking = new HashSet<>();
+            for (int model = 0; model < draft.models().size(); model++) {
+                for (Identity domain : input.planned()) {
+                    if (PlanScore.lacksChain(draft, ranking, model, domain)) {
+                        lacking.add(new Lack(draft.models().get(model).model().id(), domain));
+                    }
+                }
+            }
+            return lacking;
+        }
+
+        Plan result() {
+            Map<Identity, List<UpstreamSpec.Holding>> targets = new HashMap<>();
+            own.forEach(engine -> targets.put(engine.id(), AdapterFit.holdings(draft, engine)));
+            Map<Identity, Double> flows = new HashMap<>();
+            for (int model = 0; model < draft.models().size(); model++) {
+                flows.put(draft.models().get(model).model().id(), draft.throughput(model));
+            }
+            return new Plan(targets, flows);
         }
-        return new Plan(targets, flows);
     }
 }
--- a/core/src/main/java/org/amaranthpick/core/placement/NeedRanking.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/NeedRanking.java
@@ -94,11 +94,6 @@
         return mWants.mayHold(model, domain);
     }
 
-    /** Returns the throughput of a model over all domains, in tokens per second. */
-    double throughput(int model) {
-        return mDraft.throughput(model);
-    }
-
     private LayerFlow flow(int model, Identity domain) {
         return mWants.isHome(model, domain) ? mDraft.local(model, domain) : mDraft.pooled(model);
     }
--- a/core/src/main/java/org/amaranthpick/core/placement/OrderIssuer.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/OrderIssuer.java
@@ -7,8 +7,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.amaranthpick.core.config.Configuration;
-import org.amaranthpick.core.manifest.LayerRange;
 import org.amaranthpick.core.manifest.ModelVersionSpec;
 import org.amaranthpick.core.manifest.UpstreamSpec;
 import org.amaranthpick.core.name.Identity;
@@ -20,8 +20,8 @@
  */
 final class OrderIssuer {
     private static final int LEAST_CHANGES_AT_ONCE = 2;
+    private static final long BLOCKED_NS = 30_000_000_000L;
     private static final long DRAIN_CHECK_PERIOD_NS = 1_000_000_000L;
-    private static final long LONG_AGO_NS = Long.MIN_VALUE / 2;
 
     private final Identity mShard;
     private final PlacementContext mContext;
@@ -65,6 +65,15 @@
                 .forEach(this::forget);
     }
 
+    /** Returns the engines whose change has long been barred by the last chain. */
+    Set<Identity> blocked() {
+        long nowNs = mContext.scheduler().monotonicNs();
+        return mOrders.values().stream()
+                .filter(o -> nowNs - o.mBlockedSinceNs.orElse(nowNs) >= BLOCKED_NS)
+                .map(o -> o.mEngine)
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the engines that load weights or wait to. */
     int loadsWanted() {
         return mLoadsWanted;
@@ -169,31 +178,28 @@
     private boolean readyToDestroy(Configuration configuration, EngineSurvey survey, Work work) {
         EngineOrder order = work.order();
         Identity engine = order.mEngine;
-        Set<Identity> models = Holdings.models(work.entry().held());
-        if (!mHolds.holds(engine, models)) {
-            Optional<Identity> last = lastChain(configuration, survey, work);
-            if (last.isPresent()) {
-                mHolds.clear(engine);
-                mSender.logOnce(order, "waits: it is part of the last chain of " + last.get());
-                return false;
-            }
-            mHolds.set(engine, models);
-            mSender.logOnce(
-                    order, "held back from routing before " + OrderSender.text(order.mTarget));
-            return false;
-        }
+        boolean held = mHolds.holds(engine, work.changed());
         long heldNs = mHolds.ageNs(engine).orElse(0L);
-        if (heldNs < mContext.settings().holdSpread().toNanos()) {
+        if (held && heldNs < mContext.settings().holdSpread().toNanos()) {
             return false;
         }
-        checkDrained(work);
-        long nowNs = mContext.scheduler().monotonicNs();
-        boolean drained = nowNs - order.mDrainedAtNs.orElse(LONG_AGO_NS) <= DRAIN_CHECK_PERIOD_NS;
-        if (drained && lastChain(configuration, survey, work).isPresent()) {
+        Optional<Identity> last = lastChain(configuration, survey, work);
+        if (last.isPresent()) {
+            long nowNs = mContext.scheduler().monotonicNs();
+            order.mBlockedSinceNs = Optional.of(order.mBlockedSinceNs.orElse(nowNs));
             mHolds.clear(engine);
+            mSender.logOnce(order, "waits: it is part of the last chain of " + last.get());
+            return false;
+        }
+        order.mBlockedSinceNs = Optional.empty();
+        if (!held) {
+            mHolds.set(engine, work.changed());
+            String target = OrderSender.text(order.mTarget);
+            mSender.logOnce(order, "held back from routing before " + target);
             return false;
         }
-        return drained;
+        checkDrained(work);
+        return mSender.isDrained(work);
     }
 
     private void checkDrained(Work work) {
@@ -210,16 +216,25 @@
             Configuration configuration, EngineSurvey survey, Work work) {
         ChainGuard guard = new ChainGuard(survey, mShard);
         Identity engine = work.order().mEngine;
-        for (UpstreamSpec.Holding held : work.entry().held()) {
-            Optional<ModelVersionSpec> model = configuration.modelVersion(held.modelVersion());
-            if (model.isPresent() && mProtected.contains(held.modelVersion())) {
-                List<LayerRange> keeps = List.of();
-                if (!guard.allows(model.get(), engine, keeps, mHolds.held())) {
-                    return Optional.of(held.modelVersion());
-                }
-            }
-        }
-        return Optional.empty();
+        return work.changed().stream()
+                .filter(mProtected::contains)
+                .flatMap(id -> configuration.modelVersion(id).stream())
+                .filter(model -> !guard.allows(model, engine, heldAnywhere(model.id())))
+                .map(ModelVersionSpec::id)
+                .findFirst();
+    }
+
+    private Set<Identity> heldAnywhere(Identity modelVersion) {
+        Set<Identity> held = mHolds.held(modelVersion);
+        mContext.board()
+                .holds()
+                .forEach(
+                        (id, hold) -> {
+                            if (hold.modelVersions().contains(modelVersion)) {
+                                held.add(id);
+                            }
+                        });
+        return held;
     }
 
     private static long bytesToLoad(
@@ -243,7 +258,17 @@
         }
 
         boolean destructive() {
-            return !Holdings.covers(order.mTarget, entry.held());
+            return !changed().isEmpty();
+        }
+
+        /** Returns the model versions of which the engine loses something. */
+        Set<Identity> changed() {
+            return Holdings.changed(order.mTarget, entry.held());
+        }
+
+        /** Tells whether the engine goes on serving another model version meanwhile. */
+        boolean servesOn() {
+            return !changed().containsAll(Holdings.models(entry.held()));
         }
     }
 
--- a/core/src/main/java/org/amaranthpick/core/placement/OrderSender.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/OrderSender.java
@@ -151,15 +151,28 @@
                         });
     }
 
-    private boolean mayDestroy(EngineOrder order, OrderIssuer.Work work) {
+    /**
+     * Tells whether an engine runs nothing of what it is about to lose. An engine that goes on
+     * serving another model version cannot show it; it is given the longest time a stream takes.
+     */
+    boolean isDrained(OrderIssuer.Work work) {
+        EngineOrder order = work.order();
         long nowNs = mContext.scheduler().monotonicNs();
+        long limitNs = 2 * mContext.settings().maxPause().toNanos();
+        if (order.mDrainedAtNs.filter(at -> nowNs - at <= limitNs).isPresent()) {
+            return true;
+        }
+        long heldNs = mHolds.ageNs(order.mEngine).orElse(0L);
+        return work.servesOn() && heldNs >= mContext.settings().untrustedDrain().toNanos();
+    }
+
+    private boolean mayDestroy(EngineOrder order, OrderIssuer.Work work) {
         long spreadNs = mContext.settings().holdSpread().toNanos();
         boolean held =
-                mHolds.holds(order.mEngine, Holdings.models(work.entry().held()))
+                mHolds.holds(order.mEngine, work.changed())
                         && mHolds.ageNs(order.mEngine).orElse(0L) >= spreadNs
                         && mContext.board().holds().get(order.mEngine).isPresent();
-        long limitNs = 2 * mContext.settings().maxPause().toNanos();
-        boolean drained = order.mDrainedAtNs.filter(at -> nowNs - at <= limitNs).isPresent();
+        boolean drained = isDrained(work);
         return mContext.invariants()
                 .check(
                         Invariant.NO_DESTRUCTIVE_ORDER_WHILE_ROUTED,
--- a/core/src/main/java/org/amaranthpick/core/placement/Rebalancer.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/Rebalancer.java
@@ -17,8 +17,6 @@
     private static final double LEAST_GAIN = 1.2;
 
     private static final double LEAST_SCORE_GAIN = 0.05;
-    private static final double LEAST_RATIO = 0.01;
-    private static final double LACK_PENALTY = 1000;
 
     private final Draft mDraft;
     private final NeedRanking mRanking;
@@ -52,40 +50,21 @@
         Identity domain = engines.get(0).domain();
         engines.forEach(this::leaveToOthers);
         Deque<Move> beyondBest = new ArrayDeque<>();
-        double best = score(domain) + LEAST_SCORE_GAIN;
+        double best = PlanScore.of(mDraft, mRanking, domain) + LEAST_SCORE_GAIN;
         for (int i = 0; i < MAX_MOVES_PER_DOMAIN; i++) {
             Optional<Move> move = moveOne(engines);
             if (move.isEmpty()) {
                 break;
             }
             beyondBest.push(move.get());
-            if (score(domain) > best) {
-                best = score(domain);
+            if (PlanScore.of(mDraft, mRanking, domain) > best) {
+                best = PlanScore.of(mDraft, mRanking, domain);
                 beyondBest.clear();
             }
         }
         beyondBest.forEach(move -> mDraft.replace(move.engine(), move.before()));
     }
 
-    /** Rates a domain: lack of chains first, then the fair share of the throughput wanted. */
-    private double score(Identity domain) {
-        double score = 0;
-        for (int model = 0; model < mDraft.models().size(); model++) {
-            if (!mDraft.models().get(model).retired() && mRanking.concerns(model, domain)) {
-                score += value(mRanking.need(model, domain));
-            }
-        }
-        return score;
-    }
-
-    private static double value(NeedRanking.Need need) {
-        if (need.level() < NeedRanking.THROUGHPUT) {
-            double progress = need.level() == NeedRanking.FEW_CHAINS ? need.ratio() : -need.ratio();
-            return LACK_PENALTY * (need.level() - NeedRanking.THROUGHPUT) + progress;
-        }
-        return Math.log(Math.min(1, need.ratio()) + LEAST_RATIO);
-    }
-
     /**
      * Frees an engine for missing layers where a chain spans domains and a higher-ranked domain
      * holds the same layers.
--- a/core/src/main/java/org/amaranthpick/core/placement/ScratchPlanner.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ScratchPlanner.java
@@ -1,7 +1,5 @@
 package org.amaranthpick.core.placement;
 
-import java.util.List;
-
 /** Baseline for comparison: plans as if no engine of the planned domains held anything. */
 public final class ScratchPlanner implements Planner {
     private final Planner mPlanner;
@@ -17,10 +15,6 @@
 
     @Override
     public Plan plan(PlanInput input) {
-        List<EngineView> empty =
-                input.engines().stream()
-                        .map(e -> input.planned().contains(e.domain()) ? e.holding(List.of()) : e)
-                        .toList();
-        return mPlanner.plan(new PlanInput(empty, input.models(), input.planned(), input.cutOff()));
+        return mPlanner.plan(LayerTreePlanner.empty(input));
     }
 }
--- a/core/src/test/java/org/amaranthpick/core/placement/Fleets.java
+++ b/core/src/test/java/org/amaranthpick/core/placement/Fleets.java
@@ -64,7 +64,7 @@
     }
 
     static PlanInput input(List<EngineView> engines, List<ModelNeed> needs) {
-        return new PlanInput(engines, needs, domains(engines), Set.of());
+        return new PlanInput(engines, needs, domains(engines), Set.of(), Set.of());
     }
 
     static List<EngineView> apply(List<EngineView> engines, Plan plan) {
--- a/core/src/test/java/org/amaranthpick/core/placement/PlacementRig.java
+++ b/core/src/test/java/org/amaranthpick/core/placement/PlacementRig.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 import org.amaranthpick.core.board.Blackboard;
 import org.amaranthpick.core.config.Configuration;
 import org.amaranthpick.core.invariant.Invariants;
@@ -55,6 +56,7 @@
     MemoryEngines mEngines;
     Configuration mConfiguration;
     LinkHealth mLinks = LinkHealth.ALL_WELL;
+    PlacementSettings mSettings = PlacementSettings.defaults();
 
     /** What a rig is made of. */
     record Shape(
@@ -147,6 +149,32 @@
         mConfiguration = new Configuration(mConfiguration.generation() + 1, "digest", manifest);
     }
 
+    /** Restarts all daemons with other settings. */
+    void useSettings(PlacementSettings settings) {
+        mSettings = settings;
+        mDaemons.values().forEach(Daemon::start);
+    }
+
+    /** Tells whether every shard has an owner and every engine is as wanted. */
+    boolean quiet() {
+        List<ShardStatus> all =
+                mDaemons.values().stream()
+                        .filter(d -> d.mRuns)
+                        .flatMap(d -> d.mService.status().stream())
+                        .toList();
+        return all.size() == mConfiguration.manifest().domains().size()
+                && all.stream().allMatch(s -> s.openOrders() == 0);
+    }
+
+    /** Tells whether every domain has a chain of every model. */
+    boolean full() {
+        return mConfiguration.manifest().domains().stream()
+                .allMatch(
+                        d ->
+                                IntStream.range(0, mConfiguration.manifest().modelVersions().size())
+                                        .allMatch(m -> throughput(m, d.id().name()) > 0));
+    }
+
     /** Runs all daemons that are not stopped, checking the leases at each tick. */
     void run(Duration time) {
         long ticks = time.dividedBy(TICK);
@@ -277,7 +305,7 @@
                                     mDecisions.add(kind.label() + " " + subject + " " + text),
                             mInvariants,
                             random,
-                            PlacementSettings.defaults());
+                            mSettings);
             PlacementPolicy policy =
                     new PlacementPolicy(
                             new LayerTreePlanner(),
--- a/core/src/test/java/org/amaranthpick/core/placement/RepairTest.java
+++ b/core/src/test/java/org/amaranthpick/core/placement/RepairTest.java
@@ -18,23 +18,12 @@
     private static final Duration SETTLED = Duration.ofMinutes(10);
     private static final PlacementRig.Shape SHAPE = new PlacementRig.Shape(3, 2, 9, 2, true);
 
-    private static boolean full(PlacementRig rig) {
-        return IntStream.range(0, 3)
-                .allMatch(d -> IntStream.range(0, 2).allMatch(m -> rig.throughput(m, "d" + d) > 0));
-    }
-
     private static PlacementRig settled(PlacementRig.Shape shape) {
         PlacementRig rig = new PlacementRig(shape);
-        rig.runUntil(SETTLED, () -> full(rig) && quiet(rig));
+        rig.runUntil(SETTLED, () -> rig.full() && rig.quiet());
         return rig;
     }
 
-    private static boolean quiet(PlacementRig rig) {
-        List<ShardStatus> all =
-                rig.mDaemons.values().stream().flatMap(d -> d.mService.status().stream()).toList();
-        return all.size() == 3 && all.stream().allMatch(s -> s.openOrders() == 0);
-    }
-
     private static Identity engine(int domain, int number) {
         return Fleets.engineId("e" + domain + "-" + number);
     }
@@ -71,7 +60,7 @@
         if (loss != Loss.DOMAIN) {
             rig.runUntil(SETTLED, () -> rig.throughput(0, "d0") > 0 && rig.throughput(1, "d0") > 0);
         }
-        rig.runUntil(SETTLED, () -> quiet(rig));
+        rig.runUntil(SETTLED, () -> rig.quiet());
         double left = 1 - loss.engines().size() / 27.0;
         for (int model = 0; model < 2; model++) {
             assertTrue(rig.throughput(model) >= 0.5 * left * before[model], rig.tail());
@@ -87,7 +76,7 @@
                 .forEach(PlacementRig.Daemon::die);
         rig.run(Duration.ofMinutes(3));
         Loss.DOMAIN.engines().forEach(id -> rig.mEngines.engine(id).restart());
-        rig.runUntil(SETTLED, () -> full(rig) && quiet(rig));
+        rig.runUntil(SETTLED, () -> rig.full() && rig.quiet());
     }
 
     @ParameterizedTest
@@ -117,14 +106,14 @@
         Identity id = liar.spec().id();
         String out = "placement " + id.key() + " left out of plans: it did not do what it was told";
         rig.runUntil(SETTLED, () -> rig.mDecisions.contains(out));
-        rig.runUntil(SETTLED, () -> full(rig) && quiet(rig));
+        rig.runUntil(SETTLED, () -> rig.full() && rig.quiet());
         String sent = "order " + id.key() + " sent";
         long told = rig.mDecisions.stream().filter(d -> d.startsWith(sent)).count();
         liar.setWrongHoldings(List.of());
         rig.runUntil(
                 Duration.ofMinutes(20),
                 () -> rig.mDecisions.contains("placement " + id.key() + " back in plans"));
-        rig.runUntil(SETTLED, () -> quiet(rig));
+        rig.runUntil(SETTLED, () -> rig.quiet());
         assertTrue(told >= 3);
     }
 
@@ -137,7 +126,7 @@
         rig.run(Duration.ofSeconds(5));
         String prefix = "placement " + liar.spec().id().key() + " left out of plans: reports";
         assertTrue(rig.mDecisions.stream().anyMatch(d -> d.startsWith(prefix)));
-        rig.runUntil(SETTLED, () -> full(rig) && quiet(rig));
+        rig.runUntil(SETTLED, () -> rig.full() && rig.quiet());
     }
 
     @Test
