--- a/core/src/main/java/org/amaranthpick/core/route/Engine.java
+++ b/core/src/main/java/org/amaranthpick/core/route/Engine.java
@@ -1,5 +1,6 @@
 package org.amaranthpick.core.route;
 
+import java.util.List;
 import java.util.Optional;
 import org.amaranthpick.core.manifest.AcceleratorSpec;
 import org.amaranthpick.core.manifest.LayerRange;
@@ -27,4 +28,8 @@
     Identity domain() {
         return spec.domain();
     }
+
+    List<UpstreamSpec.Holding> holdings() {
+        return seen.isPresent() ? seen.get().status().holdings() : spec.initial();
+    }
 }
--- a/core/src/main/java/org/amaranthpick/core/route/EngineDirectory.java
+++ b/core/src/main/java/org/amaranthpick/core/route/EngineDirectory.java
@@ -1,7 +1,9 @@
 package org.amaranthpick.core.route;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.amaranthpick.core.board.Blackboard;
@@ -12,6 +14,7 @@
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.observe.UpstreamObservation;
 import org.amaranthpick.core.observe.UpstreamObservation.Reachability;
+import org.amaranthpick.core.placement.RoutingHold;
 
 /** Tells which engines may take new work now: configured, reachable, not leaving, not held back. */
 public final class EngineDirectory {
@@ -116,9 +119,37 @@
         return !mEjected.test(upstream);
     }
 
+    /**
+     * Lists the engines that may take new work by the model versions that they hold.
+     *
+     * @param configuration configuration
+     * @return engines by model version, one entry per holding
+     */
+    Map<Identity, List<Engine>> byModelVersion(Configuration configuration) {
+        Map<Identity, List<Engine>> found = new HashMap<>();
+        for (UpstreamSpec spec : configuration.manifest().upstreams()) {
+            if (spec.accelerator().isEmpty() || !acceptsWork(configuration, spec.id())) {
+                continue;
+            }
+            Optional<UpstreamObservation> seen = mBoard.upstreams().get(spec.id());
+            for (UpstreamSpec.Holding holding : holdings(spec, seen)) {
+                if (!isHeld(spec.id(), holding.modelVersion())) {
+                    found.computeIfAbsent(holding.modelVersion(), key -> new ArrayList<>())
+                            .add(
+                                    new Engine(
+                                            spec,
+                                            spec.accelerator().get(),
+                                            holding.layers(),
+                                            seen));
+                }
+            }
+        }
+        return found;
+    }
+
     private boolean isHeld(Identity upstream, Identity model) {
-        return mBoard.holds().get(upstream).stream()
-                .anyMatch(hold -> hold.modelVersions().contains(model));
+        Optional<RoutingHold> hold = mBoard.holds().get(upstream);
+        return hold.isPresent() && hold.get().modelVersions().contains(model);
     }
 
     private void addHoldings(
--- a/core/src/main/java/org/amaranthpick/core/route/LinkCosts.java
+++ b/core/src/main/java/org/amaranthpick/core/route/LinkCosts.java
@@ -62,6 +62,15 @@
         return Optional.ofNullable(mLinks.get(new Pair(from, to)));
     }
 
+    /**
+     * Returns a number that differs when links differ.
+     *
+     * @return hash of the links
+     */
+    int signature() {
+        return mLinks.hashCode();
+    }
+
     private boolean sameRegion(Identity from, Identity to) {
         Optional<String> fromRegion = mConfiguration.domain(from).map(DomainSpec::region);
         Optional<String> toRegion = mConfiguration.domain(to).map(DomainSpec::region);
--- a/core/src/test/java/org/amaranthpick/core/route/Fleet.java
+++ b/core/src/test/java/org/amaranthpick/core/route/Fleet.java
@@ -15,6 +15,7 @@
 import org.amaranthpick.core.manifest.LinkSpec;
 import org.amaranthpick.core.manifest.Manifest;
 import org.amaranthpick.core.manifest.ModelVersionSpec;
+import org.amaranthpick.core.manifest.PipelineSpec;
 import org.amaranthpick.core.manifest.UpstreamSpec;
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.name.ResourceKind;
@@ -35,8 +36,19 @@
     private final List<DomainSpec> mDomains = new ArrayList<>();
     private final List<LinkSpec> mLinks = new ArrayList<>();
     private final List<UpstreamSpec> mUpstreams = new ArrayList<>();
+    private final List<PipelineSpec> mPipelines = new ArrayList<>();
     private Configuration mConfiguration;
 
+    public Fleet() {
+        withPipeline("planner", Optional.empty());
+    }
+
+    /** Adds a pipeline of {@link #MODEL}. */
+    public final Fleet withPipeline(String name, Optional<Identity> adapter) {
+        mPipelines.add(new PipelineSpec(id(ResourceKind.PIPELINE, name), MODEL.id(), adapter, 1));
+        return this;
+    }
+
     public static Identity id(ResourceKind kind, String name) {
         return new Identity("kenanga", kind, name);
     }
@@ -94,7 +106,7 @@
                         mUpstreams,
                         List.of(MODEL),
                         List.of(),
-                        List.of(),
+                        mPipelines,
                         List.of(),
                         List.of());
         mConfiguration = new Configuration(generation, "digest-" + generation, manifest);
