Spread upstream loads by digests of two observers per upstream

Cause: only its observers know an upstream's load, all daemons route to it. Change: Assignments (computed on change only), DigestSender with a full-rate audience in the domain and one relay per other domain at a lower rate, quantised entries, silence for unchanged loads with numbered digests, a pull after a lost one, facts (holdings, boot) sent apart on change, source stamps with a lower-envelope clock offset. CacheEventFollower marks prefixes doubtful on a gap and resubscribes.

--- a/core/src/main/java/org/amaranthpick/core/observe/UpstreamPoller.java
+++ b/core/src/main/java/org/amaranthpick/core/observe/UpstreamPoller.java
@@ -9,10 +9,7 @@
 import java.util.Optional;
 import org.amaranthpick.core.board.Blackboard;
 import org.amaranthpick.core.board.Controller;
-import org.amaranthpick.core.config.Configuration;
-import org.amaranthpick.core.config.ConfigurationView;
 import org.amaranthpick.core.manifest.UpstreamSpec;
-import org.amaranthpick.core.member.MemberView;
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.observe.UpstreamObservation.Reachability;
 import org.amaranthpick.core.time.Scheduler;
@@ -20,15 +17,13 @@
 import org.amaranthpick.core.upstream.UpstreamStatus;
 
 /** Reads the status of the upstreams that this daemon observes and writes the upstream section. */
-public final class UpstreamPoller implements Controller {
+final class UpstreamPoller implements Controller {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final Duration PERIOD = Duration.ofMillis(500);
     private static final int LOST_AFTER_FAILURES = 3;
 
     private final Blackboard mBoard;
-    private final ConfigurationView mConfiguration;
-    private final ObserverRanks mRanks;
-    private final MemberView mMembers;
+    private final Assignments mAssignments;
     private final UpstreamClient mClient;
     private final Scheduler mScheduler;
     private final Map<Identity, Poll> mPolls = new HashMap<>();
@@ -39,25 +34,10 @@
         private boolean mPending;
     }
 
-    /**
-     * Creates a poller.
-     *
-     * @param board blackboard whose upstream section is written
-     * @param configuration configuration in force
-     * @param members daemons, for the choice of observers
-     * @param client client that reads the status
-     * @param scheduler clock
-     */
-    public UpstreamPoller(
-            Blackboard board,
-            ConfigurationView configuration,
-            MemberView members,
-            UpstreamClient client,
-            Scheduler scheduler) {
+    UpstreamPoller(
+            Blackboard board, Assignments assignments, UpstreamClient client, Scheduler scheduler) {
         mBoard = board;
-        mConfiguration = configuration;
-        mMembers = members;
-        mRanks = new ObserverRanks(members);
+        mAssignments = assignments;
         mClient = client;
         mScheduler = scheduler;
     }
@@ -74,21 +54,11 @@
 
     @Override
     public void step() {
-        Optional<Configuration> configuration = mConfiguration.current();
-        if (configuration.isEmpty()) {
-            return;
-        }
-        for (UpstreamSpec upstream : configuration.get().manifest().upstreams()) {
-            if (observes(configuration.get(), upstream)) {
-                poll(upstream);
-            }
+        Map<Identity, Assignments.Assignment> assigned = mAssignments.current();
+        synchronized (mPolls) {
+            mPolls.keySet().retainAll(assigned.keySet());
         }
-    }
-
-    private boolean observes(Configuration configuration, UpstreamSpec upstream) {
-        Identity self = mMembers.self().host();
-        return mRanks.observers(configuration, upstream).stream()
-                .anyMatch(member -> member.host().equals(self));
+        assigned.values().forEach(assignment -> poll(assignment.spec()));
     }
 
     private void poll(UpstreamSpec upstream) {
--- /dev/null
+++ b/core/src/test/java/org/amaranthpick/core/observe/CacheEventFollowerTest.java
@@ -0,0 +1,122 @@
+package org.amaranthpick.core.observe;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.amaranthpick.core.member.FixedMembers;
+import org.amaranthpick.core.member.Member;
+import org.amaranthpick.core.name.Identity;
+import org.amaranthpick.core.name.ResourceKind;
+import org.amaranthpick.core.peer.PeerHub;
+import org.amaranthpick.core.route.Fleet;
+import org.amaranthpick.core.time.VirtualScheduler;
+import org.amaranthpick.core.upstream.CacheEvent;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CacheEventFollowerTest {
+    private static final Identity ENGINE = Fleet.engine("e");
+
+    private final VirtualScheduler mScheduler = new VirtualScheduler(Fleet.ORIGIN);
+    private final Fleet mFleet =
+            new Fleet().withDomain("kl-a", "kl").withEngine("e", "kl-a", 1, 0, 40);
+    private final FakeUpstreams mUpstreams = new FakeUpstreams();
+    private Observation mObservation;
+
+    @BeforeEach
+    void start() {
+        Identity host = Fleet.id(ResourceKind.HOST, "h");
+        Member self = FixedMembers.member(host, Fleet.domain("kl-a"), "kl");
+        PeerHub hub = new PeerHub(mScheduler, new Random(1), 0, ObserveCodecs.all());
+        mFleet.build();
+        mObservation =
+                new Observation(
+                        new Observation.Context(
+                                mFleet.board(),
+                                () -> Optional.of(mFleet.configuration()),
+                                new FixedMembers(host, List.of(self)),
+                                mUpstreams,
+                                hub.network(host),
+                                mScheduler,
+                                DigestSettings.DEFAULT));
+        step(0);
+    }
+
+    private void step(long reportedEvents) {
+        mUpstreams.set(mFleet.spec("e"), 0, 0, false, reportedEvents);
+        mObservation.controllers().forEach(controller -> controller.step());
+    }
+
+    private void tell(String boot, long sequence, boolean stored, Long... hashes) {
+        mUpstreams.tell(new CacheEvent(boot, sequence, stored, List.of(hashes)));
+    }
+
+    private PrefixIndex.Match match(Long... hashes) {
+        return mObservation.prefixes().match(ENGINE, List.of(hashes), hashes.length);
+    }
+
+    @Test
+    void eventsInOrderAreCertain() {
+        tell("b", 1, true, 11L, 12L);
+        tell("b", 2, true, 13L);
+        tell("b", 3, false, 13L);
+        assertEquals(new PrefixIndex.Match(2, true), match(11L, 12L, 13L));
+    }
+
+    /** A late event fills the gap; what was known before it is doubtful from then on. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3, 10})
+    void gapMakesPrefixesDoubtful(int nextSequence) {
+        tell("b", 1, true, 11L);
+        tell("b", nextSequence + 1, true, 12L);
+        assertFalse(match(11L).certain());
+        for (int late = 2; late <= nextSequence; late++) {
+            tell("b", late, true, 100L + late);
+        }
+        assertTrue(match(12L).certain());
+        assertEquals(1, match(12L).blocks());
+    }
+
+    /** A gap that is never filled empties what is known and the engine is subscribed to anew. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void lostEventsAreResynced(boolean laterEvents) {
+        tell("b", 1, true, 11L);
+        if (laterEvents) {
+            tell("b", 5, true, 12L);
+        }
+        for (int i = 0; i < 8; i++) {
+            mScheduler.advance(Duration.ofSeconds(1));
+            step(6);
+        }
+        int last = mUpstreams.subscriptions().size() - 1;
+        assertTrue(last >= 1);
+        assertEquals(laterEvents ? 5 : 1, mUpstreams.subscriptions().get(last).after());
+        assertEquals(laterEvents ? 0 : 1, match(11L).blocks());
+    }
+
+    @Test
+    void restartForgetsEverything() {
+        tell("b", 7, true, 11L);
+        tell("c", 1, true, 12L);
+        assertEquals(0, match(11L).blocks());
+        assertEquals(1, match(12L).blocks());
+    }
+
+    @Test
+    void replacedSubscriptionIsIgnored() {
+        tell("b", 1, true, 11L);
+        FakeUpstreams.Subscription old = mUpstreams.subscriptions().get(0);
+        old.listener().onEnded("connection closed");
+        step(1);
+        old.listener().onEvent(new CacheEvent("b", 2, false, List.of(11L)));
+        assertEquals(1, match(11L).blocks());
+    }
+}
