Wire flow-share routing, digests, ejection and slow start into the daemon

Cause: the daemon still ran the least-load baseline and one poller. Choosers leave the decision line to the request, which logged each choice a second time. ServiceChooser fits the request path's interface.

--- a/core/src/main/java/org/amaranthpick/core/route/CheapestChainChooser.java
+++ b/core/src/main/java/org/amaranthpick/core/route/CheapestChainChooser.java
@@ -3,8 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import org.amaranthpick.core.explain.DecisionKind;
-import org.amaranthpick.core.explain.DecisionLog;
 import org.amaranthpick.core.manifest.LayerRange;
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.observe.UpstreamObservation;
@@ -16,17 +14,14 @@
     private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
 
     private final EngineDirectory mDirectory;
-    private final DecisionLog mLog;
 
     /**
      * Creates a chooser.
      *
      * @param directory engines that may take work
-     * @param log told of each decision
      */
-    public CheapestChainChooser(EngineDirectory directory, DecisionLog log) {
+    public CheapestChainChooser(EngineDirectory directory) {
         mDirectory = directory;
-        mLog = log;
     }
 
     @Override
@@ -41,11 +36,9 @@
                 new ChainSearch(request.model().layers(), pricer).cheapest(engines);
         if (hops.isEmpty()) {
             String reason = "no chain covers all layers of " + model;
-            mLog.record(DecisionKind.CHAIN, request.requestId(), reason);
             return new ChainDecision.NoChain(reason, Optional.of(RETRY_AFTER));
         }
         Chain chain = new Chain(model, hops.get());
-        mLog.record(DecisionKind.CHAIN, request.requestId(), "least reported load: " + chain);
         Duration predicted = Duration.ZERO;
         return new ChainDecision.Chosen(
                 chain, predicted, List.of(new ChainDecision.Candidate(chain, predicted)));
--- a/core/src/main/java/org/amaranthpick/core/route/FlowChainChooser.java
+++ b/core/src/main/java/org/amaranthpick/core/route/FlowChainChooser.java
@@ -14,7 +14,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import org.amaranthpick.core.config.Configuration;
-import org.amaranthpick.core.explain.DecisionKind;
 import org.amaranthpick.core.manifest.LayerRange;
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.observe.PrefixIndex;
@@ -133,7 +132,7 @@
                             chain(request, priced.steps()),
                             Duration.ofNanos(priced.estimate().firstTokenNs())));
         }
-        return finish(request, candidates.get(0).steps(), considered, "flow share");
+        return finish(request, candidates.get(0).steps(), considered);
     }
 
     private ChainDecision search(ChainRequest request, LinkCosts links) {
@@ -157,8 +156,7 @@
         long predictedNs = pricer.predictNs(steps, chain);
         ChainDecision.Candidate candidate =
                 new ChainDecision.Candidate(chain, Duration.ofNanos(predictedNs));
-        String how = request.previous().isPresent() ? "repair" : "search";
-        return finish(request, steps, List.of(candidate), how);
+        return finish(request, steps, List.of(candidate));
     }
 
     /**
@@ -200,25 +198,16 @@
     }
 
     private ChainDecision finish(
-            ChainRequest request,
-            List<Step> steps,
-            List<ChainDecision.Candidate> considered,
-            String how) {
+            ChainRequest request, List<Step> steps, List<ChainDecision.Candidate> considered) {
         Chain chain = considered.get(0).chain();
         Duration predicted = considered.get(0).predictedFirstToken();
         chain.hops().forEach(hop -> mLeaving.check(hop.upstream()));
         mLearning.remember(chain, steps, predicted.toNanos(), request.prefixHashes());
-        mContext.log()
-                .record(
-                        DecisionKind.CHAIN,
-                        request.requestId(),
-                        ChainText.chosen(chain, predicted, how, considered.size()));
         return new ChainDecision.Chosen(chain, predicted, considered);
     }
 
     private ChainDecision noChain(ChainRequest request, List<Engine> engines) {
         String reason = ChainText.gap(request.model(), engines);
-        mContext.log().record(DecisionKind.CHAIN, request.requestId(), reason);
         return new ChainDecision.NoChain(reason, Optional.of(RETRY_AFTER));
     }
 
--- a/core/src/main/java/org/amaranthpick/core/route/PredictedServiceChooser.java
+++ b/core/src/main/java/org/amaranthpick/core/route/PredictedServiceChooser.java
@@ -1,30 +1,33 @@
 package org.amaranthpick.core.route;
 
+import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.amaranthpick.core.config.Configuration;
-import org.amaranthpick.core.explain.DecisionKind;
 import org.amaranthpick.core.manifest.ServiceSpec;
 import org.amaranthpick.core.manifest.UpstreamSpec;
 import org.amaranthpick.core.name.Identity;
+import org.amaranthpick.core.observe.UpstreamObservation;
 
 /** Takes the less loaded of two instances drawn at random; near ones first unless all are busy. */
 final class PredictedServiceChooser implements ServiceChooser {
     private static final int FAR_STREAMS = 4;
+    private static final Duration MEMORY = Duration.ofSeconds(2);
 
     private final Routing.Context mContext;
     private final EngineDirectory mDirectory;
     private final LeavingWatch mLeaving;
     private final AtomicLong mChoices = new AtomicLong();
-    private final Map<Identity, AtomicInteger> mCalls = new ConcurrentHashMap<>();
+    private final Map<Identity, Deque<Long>> mCalls = new ConcurrentHashMap<>();
 
     PredictedServiceChooser(
             Routing.Context context, EngineDirectory directory, LeavingWatch leaving) {
@@ -35,10 +38,7 @@
 
     @Override
     public Optional<UpstreamSpec> choose(
-            String requestId,
-            Configuration configuration,
-            ServiceSpec service,
-            Set<Identity> excluded) {
+            Configuration configuration, ServiceSpec service, Set<Identity> excluded) {
         List<UpstreamSpec> open = new ArrayList<>();
         for (Identity id : service.upstreams()) {
             Optional<UpstreamSpec> spec = configuration.upstream(id);
@@ -49,23 +49,14 @@
             }
         }
         if (open.isEmpty()) {
-            String text = "no instance of " + service.id().qualifiedName() + " takes work";
-            mContext.log().record(DecisionKind.CHAIN, requestId, text);
             return Optional.empty();
         }
         UpstreamSpec chosen = lessLoaded(open);
         mLeaving.check(chosen.id());
-        calls(chosen.id()).incrementAndGet();
-        String text = "chose instance " + chosen.id().qualifiedName() + " of " + open.size();
-        mContext.log().record(DecisionKind.CHAIN, requestId, text);
+        noteCall(chosen.id());
         return Optional.of(chosen);
     }
 
-    @Override
-    public void onEnded(Identity upstream) {
-        calls(upstream).updateAndGet(count -> Math.max(0, count - 1));
-    }
-
     private UpstreamSpec lessLoaded(List<UpstreamSpec> open) {
         SplittableRandom random =
                 new SplittableRandom(mContext.seed() ^ mChoices.incrementAndGet());
@@ -80,17 +71,34 @@
     }
 
     private int load(UpstreamSpec spec) {
-        int reported =
-                mContext.board()
-                        .upstreams()
-                        .get(spec.id())
-                        .map(seen -> seen.status().runningStreams())
-                        .orElse(0);
+        Optional<UpstreamObservation> seen = mContext.board().upstreams().get(spec.id());
+        int reported = seen.isPresent() ? seen.get().status().runningStreams() : 0;
+        long sinceMs = mContext.scheduler().instant().toEpochMilli() - MEMORY.toMillis();
+        if (seen.isPresent()) {
+            sinceMs = Math.max(sinceMs, seen.get().sampledAt().toEpochMilli());
+        }
         int far = spec.domain().equals(mContext.domain()) ? 0 : FAR_STREAMS;
-        return Math.max(reported, calls(spec.id()).get()) + far;
+        return reported + callsSince(spec.id(), sinceMs) + far;
+    }
+
+    private void noteCall(Identity upstream) {
+        long nowMs = mContext.scheduler().instant().toEpochMilli();
+        Deque<Long> calls = mCalls.computeIfAbsent(upstream, key -> new ArrayDeque<>());
+        synchronized (calls) {
+            calls.addLast(nowMs);
+        }
     }
 
-    private AtomicInteger calls(Identity upstream) {
-        return mCalls.computeIfAbsent(upstream, key -> new AtomicInteger());
+    private int callsSince(Identity upstream, long sinceMs) {
+        Deque<Long> calls = mCalls.get(upstream);
+        if (calls == null) {
+            return 0;
+        }
+        synchronized (calls) {
+            while (!calls.isEmpty() && calls.peekFirst() < sinceMs) {
+                calls.removeFirst();
+            }
+            return calls.size();
+        }
     }
 }
--- a/core/src/main/java/org/amaranthpick/core/route/Routing.java
+++ b/core/src/main/java/org/amaranthpick/core/route/Routing.java
@@ -5,7 +5,6 @@
 import org.amaranthpick.core.board.Blackboard;
 import org.amaranthpick.core.board.Controller;
 import org.amaranthpick.core.config.ConfigurationView;
-import org.amaranthpick.core.explain.DecisionLog;
 import org.amaranthpick.core.invariant.Invariants;
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.observe.PrefixIndex;
@@ -28,7 +27,6 @@
      * @param configuration configuration in force
      * @param scheduler clock
      * @param seed seed of the random choices
-     * @param log told of each decision
      * @param invariants checks
      */
     public record Context(
@@ -37,7 +35,6 @@
             ConfigurationView configuration,
             Scheduler scheduler,
             long seed,
-            DecisionLog log,
             Invariants invariants) {}
 
     /**
--- a/core/src/main/java/org/amaranthpick/core/route/ServiceChooser.java
+++ b/core/src/main/java/org/amaranthpick/core/route/ServiceChooser.java
@@ -8,26 +8,16 @@
 import org.amaranthpick.core.name.Identity;
 
 /** Chooses the instance of a plain service for one attempt. Thread-safe; never waits. */
+@FunctionalInterface
 public interface ServiceChooser {
     /**
      * Chooses an instance and counts the call as sent.
      *
-     * @param requestId id of the request, for the decision log
      * @param configuration configuration that the request pins
      * @param service the service
      * @param excluded instances that must not be used
      * @return the instance, empty if none takes new work
      */
     Optional<UpstreamSpec> choose(
-            String requestId,
-            Configuration configuration,
-            ServiceSpec service,
-            Set<Identity> excluded);
-
-    /**
-     * A call to a chosen instance ended in any way.
-     *
-     * @param upstream the instance
-     */
-    void onEnded(Identity upstream);
+            Configuration configuration, ServiceSpec service, Set<Identity> excluded);
 }
--- a/core/src/test/java/org/amaranthpick/core/route/ChainSearchTest.java
+++ b/core/src/test/java/org/amaranthpick/core/route/ChainSearchTest.java
@@ -71,7 +71,7 @@
                         .withEngine("e1", "kl-a", 1, 20, 40)
                         .without("e" + missing);
         fleet.build();
-        ChainChooser chooser = new CheapestChainChooser(fleet.directory(), (kind, id, text) -> {});
+        ChainChooser chooser = new CheapestChainChooser(fleet.directory());
         assertInstanceOf(ChainDecision.NoChain.class, chooser.choose(fleet.request("r1")));
     }
 }
--- a/core/src/test/java/org/amaranthpick/core/route/FlowChainChooserTest.java
+++ b/core/src/test/java/org/amaranthpick/core/route/FlowChainChooserTest.java
@@ -84,7 +84,6 @@
                         () -> Optional.of(fleet.configuration()),
                         mScheduler,
                         42,
-                        (kind, subject, text) -> {},
                         mInvariants);
         mRouting = new Routing(context, ejection, id -> 1, mPrefixes);
         fleet.observeAll(mScheduler.instant());
--- a/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
@@ -1,5 +1,6 @@
 package org.amaranthpick.server.daemon;
 
+import org.amaranthpick.core.board.Controller;
 import org.amaranthpick.core.claim.ClaimSettings;
 import org.amaranthpick.core.claim.Claims;
 import org.amaranthpick.core.claim.JournalClaims;
@@ -7,11 +8,17 @@
 import org.amaranthpick.core.config.ConfigurationService;
 import org.amaranthpick.core.config.ConfigurationStore;
 import org.amaranthpick.core.member.MemberView;
-import org.amaranthpick.core.observe.UpstreamPoller;
+import org.amaranthpick.core.observe.DigestSettings;
+import org.amaranthpick.core.observe.Observation;
+import org.amaranthpick.core.observe.PrefixIndex;
 import org.amaranthpick.core.peer.PeerNetwork;
 import org.amaranthpick.core.placement.PlacementContext;
 import org.amaranthpick.core.placement.PlacementService;
 import org.amaranthpick.core.placement.PlacementSettings;
+import org.amaranthpick.core.retry.CappedOutlierEjection;
+import org.amaranthpick.core.retry.OutlierEjection;
+import org.amaranthpick.core.retry.RampSlowStart;
+import org.amaranthpick.core.retry.SlowStart;
 
 /** Control jobs of a daemon: membership, configuration, observation, claims, placement. */
 final class ControlPlane implements AutoCloseable {
@@ -24,6 +31,9 @@
     private final Claims mClaims;
     private final PlacementService mPlacement;
     private final ControlLoop mLoop;
+    private final PrefixIndex mPrefixes;
+    private final OutlierEjection mEjection;
+    private final RampSlowStart mSlowStart;
 
     ControlPlane(Foundation base) {
         PeerNetwork network = new SoloNetwork(base.settings().host());
@@ -43,13 +53,26 @@
                         base.decisions());
         mPlacement = new PlacementService(placement(base, network));
         mLoop = new ControlLoop(base.controlScheduler(), base.random(LOOP_RANDOM));
-        mLoop.add(
-                new UpstreamPoller(
-                        base.board(),
+        Observation observation =
+                new Observation(
+                        new Observation.Context(
+                                base.board(),
+                                mInForce,
+                                mMembers,
+                                base.upstreams(),
+                                network,
+                                base.controlScheduler(),
+                                DigestSettings.DEFAULT));
+        mPrefixes = observation.prefixes();
+        observation.controllers().forEach(mLoop::add);
+        mEjection =
+                new CappedOutlierEjection(
+                        CappedOutlierEjection.Settings.DEFAULT,
                         mInForce,
-                        mMembers,
-                        base.upstreams(),
-                        base.controlScheduler()));
+                        base.scheduler(),
+                        base.decisions());
+        mSlowStart = new RampSlowStart(base.board(), base.scheduler());
+        mLoop.add(mSlowStart);
         mLoop.add(mPlacement);
     }
 
@@ -65,6 +88,23 @@
         return mMembers;
     }
 
+    /** Runs one more control job. */
+    void run(Controller controller) {
+        mLoop.add(controller);
+    }
+
+    PrefixIndex prefixes() {
+        return mPrefixes;
+    }
+
+    OutlierEjection ejection() {
+        return mEjection;
+    }
+
+    SlowStart slowStart() {
+        return mSlowStart;
+    }
+
     Claims claims() {
         return mClaims;
     }
