--- a/core/src/main/java/org/amaranthpick/core/request/Exchange.java
+++ b/core/src/main/java/org/amaranthpick/core/request/Exchange.java
@@ -31,6 +31,7 @@
     private final AttemptHistory mHistory = new AttemptHistory();
     private final Set<Identity> mExcluded = new HashSet<>(1);
     private Phase mPhase = new Phase.Fresh();
+    private int mFailures;
     private Cancellable mAdmission = () -> {};
     private Cancellable mDeadlineTimer = () -> {};
     private Optional<Permit> mPermit = Optional.empty();
@@ -203,7 +204,7 @@
             giveUp(giveUpAs, reason, Optional.empty());
             return;
         }
-        int attempt = Math.max(1, mHistory.size());
+        int attempt = ++mFailures;
         Optional<Duration> wait = mParts.retries().next(mTerms.requestId(), attempt, timeLeft());
         if (wait.isEmpty() || endsBefore(wait.get())) {
             record(DecisionKind.RETRY, "none after attempt " + attempt + ": budget or deadline");
--- a/core/src/test/java/org/amaranthpick/core/request/RequestFixture.java
+++ b/core/src/test/java/org/amaranthpick/core/request/RequestFixture.java
@@ -56,6 +56,7 @@
     final FakeRetries mRetries = new FakeRetries();
     final List<ChainRequest> mChainRequests = new ArrayList<>();
     final RequestRouter mRouter;
+    boolean mNoCapacity;
     final ModelVersionSpec mModel =
             new ModelVersionSpec(id(ResourceKind.MODEL_VERSION, "m"), 8, 1, 1, 1);
     final PipelineSpec mPipeline =
@@ -191,6 +192,9 @@
 
     private ChainDecision choose(ChainRequest request) {
         mChainRequests.add(request);
+        if (mNoCapacity) {
+            return new ChainDecision.NoChain("no stage left", Optional.empty());
+        }
         Optional<Hop> first = hop(request, FIRST, new LayerRange(0, 4));
         Optional<Hop> second = hop(request, SECOND, new LayerRange(4, 8));
         if (first.isEmpty() || second.isEmpty()) {
@@ -246,6 +250,7 @@
 
     /** Allows a number of retries, each after 10 ms. */
     static final class FakeRetries implements RetryPolicy {
+        final List<Integer> mAttempts = new ArrayList<>();
         int mLeft = 4;
 
         @Override
@@ -253,6 +258,7 @@
 
         @Override
         public Optional<Duration> next(String requestId, int attempt, Optional<Duration> timeLeft) {
+            mAttempts.add(attempt);
             return mLeft-- > 0 ? Optional.of(Duration.ofMillis(10)) : Optional.empty();
         }
     }
