--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Links between daemons: authenticated TCP connections with length-framed MessagePack. */
+package org.amaranthpick.server.peer;
--- a/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamClientTest.java
+++ b/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamClientTest.java
@@ -12,6 +12,7 @@
 import org.amaranthpick.core.manifest.LayerRange;
 import org.amaranthpick.core.upstream.StreamEnd;
 import org.amaranthpick.core.upstream.UpstreamStream;
+import org.amaranthpick.server.Await;
 import org.amaranthpick.server.EngineChain;
 import org.amaranthpick.server.Workers;
 import org.amaranthpick.server.http.ConnectorSettings;
@@ -182,9 +183,7 @@
         listener.awaitFirstToken();
         stream.cancel();
         assertInstanceOf(StreamEnd.StageLost.class, listener.await());
-        while (!mEngines.second().isCancelled("r1", 1)) {
-            Thread.onSpinWait();
-        }
+        Await.until(() -> mEngines.second().isCancelled("r1", 1), "cancel at the second stage");
     }
 
     @Test
