--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/claim/JournalClaims.java
@@ -0,0 +1,177 @@
+package org.amaranthpick.core.claim;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.amaranthpick.core.explain.DecisionKind;
+import org.amaranthpick.core.explain.DecisionLog;
+import org.amaranthpick.core.member.MemberView;
+import org.amaranthpick.core.peer.PeerNetwork;
+import org.amaranthpick.core.store.ObjectStore;
+import org.amaranthpick.core.store.WriterTokens;
+import org.amaranthpick.core.time.Scheduler;
+
+/**
+ * Claims kept in journals of the platform's store, one per shard. The daemon that ranks first for a
+ * shard writes its journal for all, so that many claims share one write; which daemon that is
+ * matters for the number of writes only, never for safety.
+ */
+public final class JournalClaims implements Claims {
+    private static final Duration SETTLE_RETRY = Duration.ofSeconds(1);
+
+    private final ClaimSettings mSettings;
+    private final MemberView mMembers;
+    private final Scheduler mScheduler;
+    private final DecisionLog mDecisions;
+    private final ShardStore mShards;
+    private final ShardRouter mRouter;
+
+    /**
+     * Creates the claims of this daemon and serves the calls of others.
+     *
+     * @param settings settings
+     * @param members membership, for liveness only
+     * @param network messages to other daemons
+     * @param store the platform's store
+     * @param tokens writer tokens of this process
+     * @param scheduler clock and timers
+     * @param decisions decision log
+     */
+    public JournalClaims(
+            ClaimSettings settings,
+            MemberView members,
+            PeerNetwork network,
+            ObjectStore store,
+            WriterTokens tokens,
+            Scheduler scheduler,
+            DecisionLog decisions) {
+        mSettings = settings;
+        mMembers = members;
+        mScheduler = scheduler;
+        mDecisions = decisions;
+        mShards = new ShardStore(settings, store, tokens, scheduler);
+        long firstCallId =
+                Hashing.komihash5_0().hashStream().putLong(tokens.next().bootNonce()).getAsLong();
+        PeerCalls calls = new PeerCalls(network, scheduler, firstCallId);
+        calls.serve(call -> mShards.perform(call.operation(), call.validFor()));
+        mRouter = new ShardRouter(settings, members, scheduler, calls, mShards);
+    }
+
+    @Override
+    public CompletionStage<ClaimResult> claim(ClaimKey key, String requestId, String bodyDigest) {
+        ClaimOperation.Ask ask =
+                new ClaimOperation.Ask(
+                        KeyHash.of(key),
+                        requestHash(requestId),
+                        Hashing.komihash5_0().hashStream().putString(bodyDigest).getAsLong(),
+                        mMembers.self().host().key());
+        return mRouter.perform(ask, mSettings.askTimeout())
+                .thenApply(
+                        performed -> {
+                            if (performed.mayStillBeStored()) {
+                                withdraw(ask);
+                            }
+                            return toResult(new ClaimTicket(key, requestId), performed.reply());
+                        });
+    }
+
+    @Override
+    public CompletionStage<Void> done(ClaimTicket ticket, ClaimAnswer answer) {
+        return settle(ticket, ClaimState.DONE, Optional.of(answer), mSettings.settleTimeout());
+    }
+
+    @Override
+    public CompletionStage<Void> lost(ClaimTicket ticket) {
+        return settle(ticket, ClaimState.LOST, Optional.empty(), mSettings.settleTimeout());
+    }
+
+    @Override
+    public CompletionStage<Void> release(ClaimTicket ticket) {
+        return settle(ticket, ClaimState.RELEASED, Optional.empty(), mSettings.releaseTimeout());
+    }
+
+    /**
+     * Returns the counters of store calls.
+     *
+     * @return counters since the process started
+     */
+    public ClaimCounters counters() {
+        return mShards.counters();
+    }
+
+    private ClaimResult toResult(ClaimTicket ticket, ShardReply reply) {
+        return switch (reply.kind()) {
+            case GRANTED -> new ClaimResult.Granted(ticket);
+            case KEPT -> new ClaimResult.Kept(reply.answer().orElseThrow());
+            case IN_PROGRESS ->
+                    holderLives(reply)
+                            ? new ClaimResult.InProgress()
+                            : new ClaimResult.OutcomeUnknown();
+            case REUSED -> new ClaimResult.Reused();
+            case UNAVAILABLE, NOT_STORED -> new ClaimResult.Unavailable(reply.text());
+            case OUTCOME_UNKNOWN, SETTLED -> new ClaimResult.OutcomeUnknown();
+        };
+    }
+
+    private boolean holderLives(ShardReply reply) {
+        long ageMs = mScheduler.instant().toEpochMilli() - reply.claimedAtMs();
+        return ageMs <= mSettings.maxRequestTime().toMillis()
+                && mMembers.members().stream()
+                        .anyMatch(member -> member.host().key().equals(reply.text()));
+    }
+
+    private CompletionStage<Void> settle(
+            ClaimTicket ticket, ClaimState state, Optional<ClaimAnswer> answer, Duration timeout) {
+        ClaimOperation.Settle settle =
+                new ClaimOperation.Settle(
+                        KeyHash.of(ticket.key()), requestHash(ticket.requestId()), state, answer);
+        String label = state.name().toLowerCase(Locale.ROOT);
+        return settleUntil(settle, mScheduler.monotonicNs() + timeout.toNanos())
+                .thenAccept(
+                        stored ->
+                                mDecisions.record(
+                                        DecisionKind.CLAIM,
+                                        ticket.requestId(),
+                                        label + (stored ? " stored" : " not stored")));
+    }
+
+    /** Makes sure that an ask whose answer was lost does not hold its key. */
+    private void withdraw(ClaimOperation.Ask ask) {
+        ClaimOperation.Settle release =
+                new ClaimOperation.Settle(
+                        ask.key(), ask.requestHash(), ClaimState.RELEASED, Optional.empty());
+        long untilNs = mScheduler.monotonicNs() + mSettings.releaseTimeout().toNanos();
+        var unused = settleUntil(release, untilNs);
+    }
+
+    /** Tries a settling again until it is stored or its time is over. */
+    private CompletableFuture<Boolean> settleUntil(ClaimOperation.Settle settle, long untilNs) {
+        Duration validFor = mSettings.askTimeout().plus(mSettings.settleLinger());
+        return mRouter.perform(settle, validFor)
+                .thenCompose(
+                        performed -> {
+                            boolean stored = !performed.reply().isFailure();
+                            if (stored || untilNs - mScheduler.monotonicNs() <= 0) {
+                                return CompletableFuture.completedFuture(stored);
+                            }
+                            return later().thenCompose(done -> settleUntil(settle, untilNs));
+                        });
+    }
+
+    private CompletableFuture<Void> later() {
+        CompletableFuture<Void> wait = new CompletableFuture<>();
+        var unused = mScheduler.schedule(SETTLE_RETRY, () -> wait.complete(null));
+        return wait;
+    }
+
+    private long requestHash(String requestId) {
+        return Hashing.komihash5_0()
+                .hashStream()
+                .putString(mMembers.self().host().key())
+                .putString(requestId)
+                .getAsLong();
+    }
+}
