Test the life of requests; let keyed requests run on without their caller

Cause: pauses, cancels, deadlines, drain, watchdogs and resumption were untested; a caller that lost its connection lost the answer of its key; an answer that had all its tokens was failed when only its end was lost. Change: a claimed request that may have run goes on after its caller went away, so that the repeat gets the answer; all tokens asked for make a whole answer; a second silence leaves out the stages that both chains share; releases are written at once. PromptAnalyzer takes the request, for prefixes belong to a workspace.

--- a/core/src/main/java/org/amaranthpick/core/claim/ClaimShard.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ClaimShard.java
@@ -78,7 +78,9 @@
      */
     CompletableFuture<ShardReply> submit(ClaimOperation operation, Duration validFor) {
         long nowNs = mScheduler.monotonicNs();
-        boolean lingers = operation instanceof ClaimOperation.Settle;
+        boolean lingers =
+                operation instanceof ClaimOperation.Settle settle
+                        && settle.state() != ClaimState.RELEASED;
         long commitByNs = lingers ? nowNs + mSettings.settleLinger().toNanos() : nowNs;
         PendingOperation pending =
                 new PendingOperation(operation, nowNs, nowNs + validFor.toNanos(), commitByNs);
--- a/core/src/main/java/org/amaranthpick/core/request/EstimatingPromptAnalyzer.java
+++ b/core/src/main/java/org/amaranthpick/core/request/EstimatingPromptAnalyzer.java
@@ -3,13 +3,11 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
-import org.amaranthpick.core.manifest.ModelVersionSpec;
 import org.amaranthpick.core.name.Identity;
 
 /**
  * Analyser without a tokenizer: counts a fixed number of characters as one token and chains a hash
- * over blocks of equal length, seeded with model version and adapter.
+ * over blocks of equal length, seeded with workspace, model version and adapter.
  */
 public final class EstimatingPromptAnalyzer implements PromptAnalyzer {
     private static final int CHARS_PER_TOKEN = 4;
@@ -17,16 +15,18 @@
     private static final int CHARS_PER_BLOCK = CHARS_PER_TOKEN * TOKENS_PER_BLOCK;
 
     @Override
-    public Analysis analyze(ModelVersionSpec model, Optional<Identity> adapter, String prompt) {
+    public Analysis analyze(CallerRequest request) {
+        String prompt = request.prompt();
         int tokens = (prompt.length() + CHARS_PER_TOKEN - 1) / CHARS_PER_TOKEN;
-        return new Analysis(Math.max(1, tokens), hashes(seed(model, adapter), prompt));
+        return new Analysis(Math.max(1, tokens), hashes(seed(request), prompt));
     }
 
-    private static long seed(ModelVersionSpec model, Optional<Identity> adapter) {
+    private static long seed(CallerRequest request) {
         return Hashing.komihash5_0()
                 .hashStream()
-                .putString(model.id().key())
-                .putString(adapter.map(Identity::key).orElse(""))
+                .putString(request.workspace().id().key())
+                .putString(request.pipeline().modelVersion().key())
+                .putString(request.pipeline().adapter().map(Identity::key).orElse(""))
                 .getAsLong();
     }
 
--- a/core/src/main/java/org/amaranthpick/core/request/Exchange.java
+++ b/core/src/main/java/org/amaranthpick/core/request/Exchange.java
@@ -23,6 +23,8 @@
  * method but the handle's runs on the request's event queue.
  */
 abstract class Exchange implements RequestHandle {
+    private static final String CALLER_GONE = "the caller went away";
+
     private final RouterParts mParts;
     private final RequestSettings mSettings;
     private final ExchangeOwner mOwner;
@@ -35,6 +37,7 @@
     private Cancellable mDeadlineTimer = () -> {};
     private Optional<Permit> mPermit = Optional.empty();
     private Optional<ClaimTicket> mTicket = Optional.empty();
+    private boolean mCallerGone;
 
     Exchange(ExchangeOwner owner, ExchangeTerms terms) {
         mParts = owner.parts();
@@ -71,6 +74,13 @@
      */
     abstract void deliver(Outcome outcome);
 
+    /**
+     * Tells a caller that went away its outcome and lets the request run on without it.
+     *
+     * @param outcome outcome to tell
+     */
+    abstract void detachCaller(Outcome outcome);
+
     /**
      * Tells the caller the kept answer of an earlier request.
      *
@@ -106,8 +116,7 @@
 
     @Override
     public void cancel() {
-        mQueue.post(
-                () -> giveUp(RefusalReason.CANCELLED, "the caller went away", Optional.empty()));
+        mQueue.post(this::onCallerGone);
     }
 
     /**
@@ -247,7 +256,7 @@
             return;
         }
         settleClaim(outcome);
-        record(DecisionKind.OUTCOME, describe(outcome));
+        record(DecisionKind.OUTCOME, Outcomes.describe(outcome));
         try {
             deliver(outcome);
         } finally {
@@ -255,6 +264,20 @@
         }
     }
 
+    /**
+     * Ends the request, unless it holds a key and may have run: then it runs on, so that a repeat
+     * with the key gets its answer.
+     */
+    private void onCallerGone() {
+        if (!hasEnded() && mTicket.isPresent() && mHistory.mayHaveRun() && !mCallerGone) {
+            mCallerGone = true;
+            record(DecisionKind.OUTCOME, "the caller went away; runs on for its key");
+            detachCaller(Outcomes.interrupted(CALLER_GONE, mayRepeat(), tokensEmitted()));
+            return;
+        }
+        giveUp(RefusalReason.CANCELLED, CALLER_GONE, Optional.empty());
+    }
+
     private void admit() {
         mParts.retries().onRequest();
         timeLeft().ifPresent(this::armDeadline);
@@ -304,9 +327,12 @@
         ClaimResult known = error == null ? result : new ClaimResult.Unavailable(error.toString());
         if (known instanceof ClaimResult.Granted granted) {
             onGranted(granted.ticket());
+        } else if (known instanceof ClaimResult.Kept kept && !hasEnded()) {
+            record(DecisionKind.CLAIM, "not granted: an earlier request was answered");
+            finishKept(kept.answer());
         } else if (!hasEnded()) {
             record(DecisionKind.CLAIM, "not granted: " + known);
-            onNotGranted(known);
+            finish(Outcomes.notGranted(known, mSettings.retryAfter()));
         }
     }
 
@@ -320,34 +346,6 @@
         run();
     }
 
-    private void onNotGranted(ClaimResult result) {
-        Optional<Duration> later = Optional.of(mSettings.retryAfter());
-        if (result instanceof ClaimResult.Kept kept) {
-            finishKept(kept.answer());
-        } else if (result instanceof ClaimResult.InProgress) {
-            refuse(RefusalReason.KEY_IN_PROGRESS, "a request with this key is in progress", later);
-        } else if (result instanceof ClaimResult.Reused) {
-            refuse(
-                    RefusalReason.KEY_REUSED,
-                    "this key was used with another request body",
-                    Optional.empty());
-        } else if (result instanceof ClaimResult.Unavailable unavailable) {
-            refuse(
-                    RefusalReason.CLAIM_UNAVAILABLE,
-                    "the key cannot be claimed now: " + unavailable.reason(),
-                    later);
-        } else {
-            refuse(
-                    RefusalReason.KEY_OUTCOME_UNKNOWN,
-                    "an earlier request with this key may have run",
-                    Optional.empty());
-        }
-    }
-
-    private void refuse(RefusalReason reason, String message, Optional<Duration> retryAfter) {
-        finish(Outcomes.notRun(reason, message, retryAfter));
-    }
-
     private void finishKept(ClaimAnswer answer) {
         if (!enterEnd(new Outcome.Replayed("", ""))) {
             return;
@@ -408,8 +406,7 @@
             return;
         }
         ClaimTicket ticket = mTicket.get();
-        Optional<ClaimAnswer> answer =
-                outcome instanceof Outcome.Answered ? answerToKeep() : Optional.empty();
+        Optional<ClaimAnswer> answer = answerToKeep();
         if (outcome instanceof Outcome.NotRun) {
             mOwner.settle(mParts.claims().release(ticket));
         } else if (answer.isPresent()) {
@@ -423,20 +420,4 @@
         String message = "internal failure: " + e;
         post(() -> giveUp(RefusalReason.UPSTREAM_REFUSED, message, Optional.empty()));
     }
-
-    private static String describe(Outcome outcome) {
-        if (outcome instanceof Outcome.Answered answered) {
-            return "answered with " + answered.tokens() + " tokens, " + answered.finishReason();
-        }
-        if (outcome instanceof Outcome.NotRun notRun) {
-            return "not run, " + notRun.reason().label() + ": " + notRun.message();
-        }
-        if (outcome instanceof Outcome.Interrupted interrupted) {
-            return "interrupted after "
-                    + interrupted.tokens()
-                    + " tokens: "
-                    + interrupted.message();
-        }
-        return "kept answer of an earlier request";
-    }
 }
--- a/core/src/main/java/org/amaranthpick/core/request/ModelExchange.java
+++ b/core/src/main/java/org/amaranthpick/core/request/ModelExchange.java
@@ -1,9 +1,7 @@
 package org.amaranthpick.core.request;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.amaranthpick.core.admit.AdmissionRequest;
 import org.amaranthpick.core.claim.ClaimAnswer;
 import org.amaranthpick.core.explain.DecisionKind;
@@ -12,25 +10,25 @@
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.route.Chain;
 import org.amaranthpick.core.route.ChainDecision;
-import org.amaranthpick.core.route.ChainRequest;
 import org.amaranthpick.core.route.Hop;
 import org.amaranthpick.core.time.Cancellable;
-import org.amaranthpick.core.upstream.GenerateCall;
 import org.amaranthpick.core.upstream.StreamEnd;
 import org.amaranthpick.core.upstream.TokenFrame;
 
 /** Life of one model request. */
 final class ModelExchange extends Exchange {
+    /** Finish reason of an answer that has all the tokens asked for. */
+    private static final String FULL = "length";
+
     private final CallerRequest mRequest;
-    private final ModelVersionSpec mModel;
-    private final PromptAnalyzer.Analysis mPrompt;
-    private final AnswerSink mSink;
+    private final ModelCalls mCalls;
+    private final SilenceBlame mBlame = new SilenceBlame();
     private final TokenSequencer mSequencer;
     private final AttemptEvents mEvents = new Events();
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<Chain> mPreviousChain = Optional.empty();
-    private Optional<Chain> mSilentChain = Optional.empty();
     private Optional<StreamEnd.Finished> mFinished = Optional.empty();
+    private AnswerSink mSink;
     private Cancellable mStallTimer = () -> {};
     private int mEmitted;
     private volatile boolean mPaused;
@@ -39,12 +37,8 @@
             ExchangeOwner owner, CallerRequest request, ModelVersionSpec model, AnswerSink sink) {
         super(owner, ExchangeTerms.of(request));
         mRequest = request;
-        mModel = model;
         mSink = sink;
-        mPrompt =
-                owner.parts()
-                        .prompts()
-                        .analyze(model, request.pipeline().adapter(), request.prompt());
+        mCalls = new ModelCalls(request, model, owner.parts().prompts().analyze(request));
         mSequencer =
                 new TokenSequencer(
                         request.requestId(),
@@ -66,13 +60,7 @@
 
     @Override
     AdmissionRequest admissionRequest() {
-        return new AdmissionRequest(
-                mRequest.requestId(),
-                mRequest.workspace(),
-                mModel.id().key(),
-                mPrompt.tokens() + mRequest.maxTokens(),
-                mRequest.priority(),
-                mRequest.deadline());
+        return mCalls.admission();
     }
 
     @Override
@@ -82,7 +70,11 @@
 
     @Override
     void startAttempt() {
-        ChainDecision decision = parts().chooser().choose(chainRequest());
+        ChainDecision decision =
+                parts().chooser()
+                        .choose(
+                                mCalls.chain(
+                                        mSequencer.next(), excluded(), mPreviousChain, timeLeft()));
         if (decision instanceof ChainDecision.Chosen chosen) {
             record(DecisionKind.CHAIN, describe(chosen));
             send(chosen);
@@ -104,6 +96,15 @@
         mSink.onOutcome(outcome);
     }
 
+    @Override
+    void detachCaller(Outcome outcome) {
+        AnswerSink caller = mSink;
+        mSink = new NoCaller();
+        mPaused = false;
+        onResume();
+        caller.onOutcome(outcome);
+    }
+
     @Override
     void deliverKept(ClaimAnswer answer) {
         mSink.onOutcome(new Outcome.Replayed(answer.body(), answer.contentType()));
@@ -111,8 +112,11 @@
 
     @Override
     Optional<ClaimAnswer> answerToKeep() {
+        if (mFinished.isEmpty()) {
+            return Optional.empty();
+        }
         String text = String.join("", mSequencer.texts());
-        String reason = mFinished.map(StreamEnd.Finished::reason).orElse("");
+        String reason = mFinished.get().reason();
         return BodyDigest.isShort(text, settings().maxKeptAnswerBytes())
                 ? Optional.of(new ClaimAnswer(200, reason, text))
                 : Optional.empty();
@@ -120,7 +124,7 @@
 
     @Override
     int tokensUsed() {
-        return history().mayHaveRun() ? mPrompt.tokens() + mSequencer.next() : 0;
+        return history().mayHaveRun() ? mCalls.prompt().tokens() + mSequencer.next() : 0;
     }
 
     @Override
@@ -128,22 +132,6 @@
         return mEmitted;
     }
 
-    private ChainRequest chainRequest() {
-        int done = mSequencer.next();
-        return new ChainRequest(
-                mRequest.requestId(),
-                mRequest.configuration(),
-                mModel,
-                mRequest.pipeline().adapter(),
-                mPrompt.tokens(),
-                done,
-                mRequest.maxTokens() - done,
-                mPrompt.prefixHashes(),
-                excluded(),
-                mPreviousChain,
-                timeLeft());
-    }
-
     private void send(ChainDecision.Chosen chosen) {
         int number = beginAttempt();
         Chain chain = chosen.chain();
@@ -154,12 +142,12 @@
         mPreviousChain = Optional.of(chain);
         mSequencer.begin(number, chain);
         record(DecisionKind.ATTEMPT, "attempt " + number + " starts at token " + mSequencer.next());
-        parts().feedback().onSent(chain, mPrompt.tokens() + mSequencer.next());
+        parts().feedback().onSent(chain, mCalls.prompt().tokens() + mSequencer.next());
         attempt.setStream(
                 parts().upstreams()
                         .generate(
                                 mRequest.configuration(),
-                                generateCall(number, chain),
+                                mCalls.generate(number, chain, mSequencer, timeLeft()),
                                 new AttemptListener(attempt, mEvents, this::post)));
         if (mPaused) {
             attempt.stream().pause();
@@ -167,20 +155,6 @@
         watch(attempt);
     }
 
-    private GenerateCall generateCall(int number, Chain chain) {
-        return new GenerateCall(
-                mRequest.requestId(),
-                number,
-                mRequest.workspace().id(),
-                chain,
-                mRequest.pipeline().adapter(),
-                mRequest.prompt(),
-                mSequencer.texts(),
-                mRequest.maxTokens(),
-                mRequest.priority(),
-                timeLeft());
-    }
-
     private boolean isCurrent(Attempt attempt) {
         return isRunning() && !attempt.hasEnded() && mAttempt.filter(a -> a == attempt).isPresent();
     }
@@ -209,7 +183,7 @@
         if (mFinished.isPresent() && !hasEnded() && !mSequencer.hasReady()) {
             finish(
                     new Outcome.Answered(
-                            mFinished.get().reason(), mPrompt.tokens(), mSequencer.next()));
+                            mFinished.get().reason(), mCalls.prompt().tokens(), mSequencer.next()));
         }
     }
 
@@ -251,6 +225,10 @@
             fail(attempt, firstStage(attempt), "answer is not whole: " + counts);
             return;
         }
+        complete(attempt, finished);
+    }
+
+    private void complete(Attempt attempt, StreamEnd.Finished finished) {
         history().set(attempt.number(), AttemptHistory.Fate.FINISHED);
         attempt.end();
         mFinished = Optional.of(finished);
@@ -265,8 +243,14 @@
     }
 
     private void fail(Attempt attempt, Identity stage, String reason) {
-        close(attempt, AttemptHistory.Fate.LOST);
         parts().feedback().onFailure(stage, reason);
+        if (mSequencer.isFull()) {
+            record(DecisionKind.ATTEMPT, "all tokens had come before the stage failed: " + reason);
+            attempt.stream().cancel();
+            complete(attempt, new StreamEnd.Finished(FULL, mSequencer.next()));
+            return;
+        }
+        close(attempt, AttemptHistory.Fate.LOST);
         retryWithout(stage, "stage " + stage + " failed: " + reason, Optional.empty());
     }
 
@@ -314,21 +298,10 @@
     }
 
     private void onSilence(Attempt attempt) {
-        excluded().addAll(sharedWithSilentChain(attempt.chain()));
-        mSilentChain = Optional.of(attempt.chain());
+        excluded().addAll(mBlame.blame(attempt.chain()));
         fail(attempt, firstStage(attempt), "silent");
     }
 
-    private Set<Identity> sharedWithSilentChain(Chain chain) {
-        Set<Identity> shared = new HashSet<>();
-        for (Hop hop : chain.hops()) {
-            if (mSilentChain.filter(silent -> silent.uses(hop.upstream())).isPresent()) {
-                shared.add(hop.upstream());
-            }
-        }
-        return shared;
-    }
-
     private void onPause() {
         if (hasEnded() || !mPaused) {
             return;
@@ -394,4 +367,13 @@
             ModelExchange.this.onEnd(attempt, end);
         }
     }
+
+    /** Stands in for a caller that went away. */
+    private static final class NoCaller implements AnswerSink {
+        @Override
+        public void onToken(int index, String text) {}
+
+        @Override
+        public void onOutcome(Outcome outcome) {}
+    }
 }
--- a/core/src/main/java/org/amaranthpick/core/request/Outcomes.java
+++ b/core/src/main/java/org/amaranthpick/core/request/Outcomes.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.amaranthpick.core.claim.ClaimResult;
 
 /** Outcomes with their messages and remedies. */
 final class Outcomes {
@@ -36,6 +37,60 @@
         return new Outcome.Interrupted(message, remedy, tokens);
     }
 
+    /**
+     * Tells why a key was not granted.
+     *
+     * @param result result other than granted or kept
+     * @param later when to come back, where that helps
+     * @return outcome
+     */
+    static Outcome.NotRun notGranted(ClaimResult result, Duration later) {
+        if (result instanceof ClaimResult.InProgress) {
+            return notRun(
+                    RefusalReason.KEY_IN_PROGRESS,
+                    "a request with this key is in progress",
+                    Optional.of(later));
+        }
+        if (result instanceof ClaimResult.Reused) {
+            return notRun(
+                    RefusalReason.KEY_REUSED,
+                    "this key was used with another request body",
+                    Optional.empty());
+        }
+        if (result instanceof ClaimResult.Unavailable unavailable) {
+            return notRun(
+                    RefusalReason.CLAIM_UNAVAILABLE,
+                    "the key cannot be claimed now: " + unavailable.reason(),
+                    Optional.of(later));
+        }
+        return notRun(
+                RefusalReason.KEY_OUTCOME_UNKNOWN,
+                "an earlier request with this key may have run",
+                Optional.empty());
+    }
+
+    /**
+     * Describes an outcome for the decision log.
+     *
+     * @param outcome outcome
+     * @return short sentence
+     */
+    static String describe(Outcome outcome) {
+        if (outcome instanceof Outcome.Answered answered) {
+            return "answered with " + answered.tokens() + " tokens, " + answered.finishReason();
+        }
+        if (outcome instanceof Outcome.NotRun notRun) {
+            return "not run, " + notRun.reason().label() + ": " + notRun.message();
+        }
+        if (outcome instanceof Outcome.Interrupted interrupted) {
+            return "interrupted after "
+                    + interrupted.tokens()
+                    + " tokens: "
+                    + interrupted.message();
+        }
+        return "kept answer of an earlier request";
+    }
+
     private static String remedyOf(RefusalReason reason) {
         return switch (reason) {
             case BAD_REQUEST -> "correct the request";
--- a/core/src/main/java/org/amaranthpick/core/request/PromptAnalyzer.java
+++ b/core/src/main/java/org/amaranthpick/core/request/PromptAnalyzer.java
@@ -1,9 +1,6 @@
 package org.amaranthpick.core.request;
 
 import java.util.List;
-import java.util.Optional;
-import org.amaranthpick.core.manifest.ModelVersionSpec;
-import org.amaranthpick.core.name.Identity;
 
 /** Counts the tokens of a prompt and hashes its blocks as the engines do. Thread-safe. */
 @FunctionalInterface
@@ -11,12 +8,10 @@
     /**
      * Analyses a prompt.
      *
-     * @param model model version that reads it
-     * @param adapter adapter applied, if any
-     * @param prompt prompt text
+     * @param request request whose prompt it is
      * @return size and block hashes
      */
-    Analysis analyze(ModelVersionSpec model, Optional<Identity> adapter, String prompt);
+    Analysis analyze(CallerRequest request);
 
     /**
      * Size and block hashes of a prompt.
--- a/core/src/main/java/org/amaranthpick/core/request/ServiceExchange.java
+++ b/core/src/main/java/org/amaranthpick/core/request/ServiceExchange.java
@@ -20,7 +20,7 @@
     private static final String DEFAULT_CONTENT_TYPE = "application/octet-stream";
 
     private final ServiceRequest mRequest;
-    private final ServiceSink mSink;
+    private ServiceSink mSink;
     private Optional<ServiceReply.Answered> mReply = Optional.empty();
     private Cancellable mTimer = () -> {};
     private int mAttempt;
@@ -88,6 +88,13 @@
         }
     }
 
+    @Override
+    void detachCaller(Outcome outcome) {
+        ServiceSink caller = mSink;
+        mSink = new NoCaller();
+        caller.onFailed(outcome);
+    }
+
     @Override
     void deliverKept(ClaimAnswer answer) {
         byte[] body = answer.body().getBytes(StandardCharsets.UTF_8);
@@ -191,4 +198,13 @@
                 .findFirst()
                 .orElse(DEFAULT_CONTENT_TYPE);
     }
+
+    /** Stands in for a caller that went away. */
+    private static final class NoCaller implements ServiceSink {
+        @Override
+        public void onAnswered(ServiceReply.Answered reply, boolean replayed) {}
+
+        @Override
+        public void onFailed(Outcome outcome) {}
+    }
 }
--- a/core/src/main/java/org/amaranthpick/core/request/TokenSequencer.java
+++ b/core/src/main/java/org/amaranthpick/core/request/TokenSequencer.java
@@ -49,6 +49,15 @@
         mAhead.clear();
     }
 
+    /**
+     * Returns the current attempt.
+     *
+     * @return its number, 0 before the first
+     */
+    int attempt() {
+        return mAttempt;
+    }
+
     /**
      * Judges a frame and takes it if it is good.
      *
@@ -96,6 +105,15 @@
         return mTexts.size();
     }
 
+    /**
+     * Tells whether all the tokens asked for have come.
+     *
+     * @return true if no further token can follow
+     */
+    boolean isFull() {
+        return next() == mMaxTokens;
+    }
+
     /**
      * Counts the tokens held: those not handed on yet and those ahead of a missing one.
      *
--- a/core/src/test/java/org/amaranthpick/core/request/AtMostOnceTest.java
+++ b/core/src/test/java/org/amaranthpick/core/request/AtMostOnceTest.java
@@ -188,7 +188,7 @@
                             requestId, operation, false, Optional.of(operation), Optional.empty());
             daemon.mNode.run(
                     () -> {
-                        var unused = daemon.mFixture.mRouter.submit(request, submission.sink());
+                        daemon.mFixture.mRouter.submit(request, submission.sink());
                     });
             return submission;
         }
--- a/core/src/test/java/org/amaranthpick/core/request/FakeUpstreams.java
+++ b/core/src/test/java/org/amaranthpick/core/request/FakeUpstreams.java
@@ -38,6 +38,10 @@
     private final List<String> mRuns = new ArrayList<>();
     private final Map<String, List<String>> mPromptRuns = new HashMap<>();
     private final List<Stream> mStreams = new ArrayList<>();
+
+    /** Broken on purpose: tells an attempt that was sent and lost as never sent. */
+    boolean mDeniesSending;
+
     private Function<GenerateCall, Script> mScripts = call -> Script.NONE;
     private Function<ServiceCall, ServiceReply> mService =
             call -> new ServiceReply.Answered(200, Map.of(), new byte[] {'o', 'k'});
@@ -184,7 +188,9 @@
                 mListener.onEnd(new StreamEnd.NotSent(lastStage(), "connection refused"));
                 return;
             }
-            mListener.onSending();
+            if (!mDeniesSending) {
+                mListener.onSending();
+            }
             if (mScript.fault() == Fault.REFUSED) {
                 mListener.onEnd(new StreamEnd.Refused(lastStage(), "full", Optional.empty()));
                 return;
@@ -216,7 +222,10 @@
                 return false;
             }
             if (mScript.fault() == Fault.STAGE_DEATH) {
-                mListener.onEnd(new StreamEnd.StageLost(lastStage(), "connection reset"));
+                mListener.onEnd(
+                        mDeniesSending
+                                ? new StreamEnd.NotSent(lastStage(), "denied")
+                                : new StreamEnd.StageLost(lastStage(), "connection reset"));
                 return true;
             }
             if (mScript.fault() == Fault.TRUNCATED) {
--- a/core/src/test/java/org/amaranthpick/core/request/RequestFaultsTest.java
+++ b/core/src/test/java/org/amaranthpick/core/request/RequestFaultsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -15,6 +16,7 @@
 import org.amaranthpick.core.request.FakeUpstreams.Fault;
 import org.amaranthpick.core.request.FakeUpstreams.Script;
 import org.amaranthpick.core.request.FakeUpstreams.Step;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -95,6 +97,21 @@
         run.assertSound(kind);
     }
 
+    @Test
+    void retryAfterSendingIsFoundOut() {
+        Run run = new Run();
+        run.mFixture.mUpstreams.mDeniesSending = true;
+        run.mFixture.mUpstreams.script(
+                call ->
+                        call.attempt() == 1
+                                ? new Script(Step.AFTER_SEND, Fault.STAGE_DEATH)
+                                : Script.NONE);
+        CallerRequest request = run.mFixture.request(ID, false, Optional.of("k"));
+        run.mFixture.mRouter.submit(request, run.mSink);
+        run.mFixture.mScheduler.advance(LONG);
+        assertThrows(AssertionError.class, () -> run.assertSound(Kind.KEYED));
+    }
+
     private static boolean strikes(Step step, Fault fault) {
         if (HARMLESS.contains(fault) || step == Step.AFTER_DONE) {
             return false;
@@ -108,9 +125,8 @@
         run.mFixture.mUpstreams.script(
                 call -> call.attempt() <= failingAttempts ? new Script(step, fault) : Script.NONE);
         Optional<String> key = kind == Kind.KEYED ? Optional.of("k") : Optional.empty();
-        var unused =
-                run.mFixture.mRouter.submit(
-                        run.mFixture.request(ID, kind == Kind.IDEMPOTENT, key), run.mSink);
+        run.mFixture.mRouter.submit(
+                run.mFixture.request(ID, kind == Kind.IDEMPOTENT, key), run.mSink);
         run.mFixture.mScheduler.advance(LONG);
         return run;
     }
--- /dev/null
+++ b/core/src/test/java/org/amaranthpick/core/request/RequestLifeTest.java
@@ -0,0 +1,287 @@
+package org.amaranthpick.core.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.amaranthpick.core.admit.AdmissionDecision;
+import org.amaranthpick.core.name.ResourceKind;
+import org.amaranthpick.core.request.FakeUpstreams.Fault;
+import org.amaranthpick.core.request.FakeUpstreams.Script;
+import org.amaranthpick.core.request.FakeUpstreams.Step;
+import org.amaranthpick.core.route.ChainRequest;
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Life of single requests on virtual time. */
+class RequestLifeTest {
+    private static final Duration LONG = Duration.ofMinutes(2);
+    private static final Duration DETECTION = Duration.ofSeconds(2);
+    private static final Duration RESUMPTION = Duration.ofSeconds(1);
+
+    private final MapClaims mClaims = new MapClaims();
+    private final RequestFixture mFixture = new RequestFixture(mClaims);
+    private final RecordingSink mSink = new RecordingSink();
+
+    private RequestHandle submit(boolean idempotent, Optional<String> key) {
+        return mFixture.mRouter.submit(mFixture.request("r", idempotent, key), mSink);
+    }
+
+    private void failFirstAttempt(Step step, Fault fault) {
+        mFixture.mUpstreams.script(
+                call -> call.attempt() == 1 ? new Script(step, fault) : Script.NONE);
+    }
+
+    private void advance(Duration time) {
+        mFixture.mScheduler.advance(time);
+    }
+
+    @Test
+    void deadStageIsLeftOutAndTheAnswerGoesOnAtTheNextToken() {
+        failFirstAttempt(Step.MID_STREAM, Fault.STAGE_DEATH);
+        submit(true, Optional.empty());
+        advance(LONG);
+        ChainRequest resumed = mFixture.mChainRequests.get(1);
+        assertEquals(1, resumed.doneTokens());
+        assertEquals(Optional.of(mFixture.mUpstreams.calls().get(0).chain()), resumed.previous());
+        assertTrue(resumed.excluded().contains(RequestFixture.id(ResourceKind.UPSTREAM, "b0")));
+        assertEquals(
+                List.of(FakeUpstreams.text("r", 0)), mFixture.mUpstreams.calls().get(1).emitted());
+        assertTrue(mFixture.mUpstreams.streams().get(0).isCancelled());
+        assertEquals(RequestFixture.wholeText("r"), mSink.text());
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Step.class,
+            names = {"AFTER_SEND", "FIRST_TOKEN", "MID_STREAM", "LAST_TOKEN"})
+    void silentStageIsFoundAndTheAnswerResumedInTime(Step step) {
+        failFirstAttempt(step, Fault.SILENCE);
+        submit(true, Optional.empty());
+        Duration silentFor = Duration.ZERO;
+        int tokens = 0;
+        while (mFixture.mUpstreams.calls().size() < 2) {
+            advance(Duration.ofMillis(5));
+            silentFor = mSink.tokens() == tokens ? silentFor.plusMillis(5) : Duration.ZERO;
+            tokens = mSink.tokens();
+            assertTrue(silentFor.compareTo(DETECTION) < 0, "silent for " + silentFor);
+        }
+        advance(RESUMPTION);
+        assertTrue(mSink.tokens() > tokens);
+        advance(LONG);
+        assertEquals(RequestFixture.wholeText("r"), mSink.text());
+    }
+
+    @Test
+    void secondSilenceLeavesOutTheStageThatBothChainsShare() {
+        mFixture.mUpstreams.script(
+                call ->
+                        call.attempt() <= 2
+                                ? new Script(Step.FIRST_TOKEN, Fault.SILENCE)
+                                : Script.NONE);
+        submit(true, Optional.empty());
+        advance(LONG);
+        assertTrue(
+                mFixture.mChainRequests
+                        .get(2)
+                        .excluded()
+                        .contains(RequestFixture.id(ResourceKind.UPSTREAM, "b0")));
+    }
+
+    @Test
+    void framesOfAnOlderAttemptAreDroppedAndCounted() {
+        failFirstAttempt(Step.MID_STREAM, Fault.STAGE_DEATH);
+        submit(true, Optional.empty());
+        advance(Duration.ofMillis(90));
+        assertEquals(2, mFixture.mUpstreams.calls().size());
+        mFixture.mUpstreams.streams().get(0).tellLate(1);
+        mFixture.mUpstreams.streams().get(0).tellLate(2);
+        advance(LONG);
+        assertEquals(2, mFixture.mRouter.frames().get(FrameVerdict.LATE));
+        assertEquals(RequestFixture.wholeText("r"), mSink.text());
+    }
+
+    @Test
+    void answerWithAllTokensIsWholeAlthoughItsEndWasLost() {
+        CallerRequest full = mFixture.request("r", false, Optional.empty());
+        CallerRequest request =
+                new CallerRequest(
+                        full.requestId(),
+                        full.configuration(),
+                        full.workspace(),
+                        full.pipeline(),
+                        full.prompt(),
+                        FakeUpstreams.TOKENS - 1,
+                        full.priority(),
+                        full.deadline(),
+                        false,
+                        Optional.empty());
+        failFirstAttempt(Step.LAST_TOKEN, Fault.STAGE_DEATH);
+        mFixture.mRouter.submit(request, mSink);
+        advance(LONG);
+        Outcome.Answered answered = assertInstanceOf(Outcome.Answered.class, mSink.outcome());
+        assertEquals("length", answered.finishReason());
+        assertEquals(FakeUpstreams.TOKENS - 1, mSink.tokens());
+    }
+
+    @Test
+    void pausedCallerGetsNothingAndThenTheWholeAnswer() {
+        RequestHandle handle = submit(true, Optional.empty());
+        advance(Duration.ofMillis(60));
+        handle.pause();
+        int tokens = mSink.tokens();
+        assertTrue(mFixture.mUpstreams.streams().get(0).isPaused());
+        advance(Duration.ofSeconds(30));
+        assertEquals(tokens, mSink.tokens());
+        assertEquals(1, mFixture.mUpstreams.calls().size());
+        handle.resume();
+        advance(LONG);
+        assertEquals(RequestFixture.wholeText("r"), mSink.text());
+    }
+
+    @Test
+    void callerThatStallsTooLongIsGivenUp() {
+        RequestHandle handle = submit(true, Optional.empty());
+        advance(Duration.ofMillis(60));
+        handle.pause();
+        advance(LONG);
+        assertInstanceOf(Outcome.Interrupted.class, mSink.outcome());
+        assertTrue(mFixture.mUpstreams.streams().get(0).isCancelled());
+        assertEquals(0, mFixture.mAdmission.mHeld);
+    }
+
+    @Test
+    void callerThatPausesOrCancelsFromWithinIsServedInOrder() {
+        CompletableFuture<RequestHandle> handle = new CompletableFuture<>();
+        AnswerSink sink =
+                new AnswerSink() {
+                    @Override
+                    public void onToken(int index, String text) {
+                        mSink.onToken(index, text);
+                        if (index == 1) {
+                            handle.join().pause();
+                            handle.join().resume();
+                        } else if (index == 3) {
+                            handle.join().cancel();
+                        }
+                    }
+
+                    @Override
+                    public void onOutcome(Outcome outcome) {
+                        mSink.onOutcome(outcome);
+                    }
+                };
+        handle.complete(
+                mFixture.mRouter.submit(mFixture.request("r", true, Optional.empty()), sink));
+        advance(LONG);
+        assertEquals(4, mSink.tokens());
+        assertInstanceOf(Outcome.Interrupted.class, mSink.outcome());
+        assertEquals(0, mFixture.mInvariants.total());
+    }
+
+    @Test
+    void callerThatGoesAwayCancelsItsUpstreams() {
+        RequestHandle handle = submit(true, Optional.empty());
+        advance(Duration.ofMillis(60));
+        handle.cancel();
+        advance(LONG);
+        assertTrue(mFixture.mUpstreams.streams().get(0).isCancelled());
+        assertInstanceOf(Outcome.Interrupted.class, mSink.outcome());
+        assertEquals(0, mFixture.mRouter.inProgress());
+    }
+
+    @Test
+    void keyedRequestRunsOnWithoutItsCallerAndTheRepeatGetsTheAnswer() {
+        RequestHandle handle = submit(false, Optional.of("k"));
+        advance(Duration.ofMillis(60));
+        handle.cancel();
+        assertInstanceOf(Outcome.Interrupted.class, mSink.outcome());
+        int tokens = mSink.tokens();
+        advance(LONG);
+        assertEquals(tokens, mSink.tokens());
+        RecordingSink repeat = new RecordingSink();
+        mFixture.mRouter.submit(mFixture.request("r2", false, Optional.of("k")), repeat);
+        Outcome.Replayed replayed = assertInstanceOf(Outcome.Replayed.class, repeat.outcome());
+        assertEquals(RequestFixture.wholeText("r"), replayed.text());
+        assertEquals(0, mFixture.mRouter.inProgress());
+    }
+
+    @Test
+    void deadlineEndsARequestThatWaitsAsNotRunAndOneThatRunsAsInterrupted() {
+        Instant until = RequestFixture.START.plusSeconds(1);
+        mFixture.mAdmission.mHoldsBack = true;
+        mFixture.mRouter.submit(
+                mFixture.request("r", true, Optional.empty(), Optional.of(until)), mSink);
+        mFixture.mAdmission.mHoldsBack = false;
+        mFixture.mUpstreams.script(call -> new Script(Step.FIRST_TOKEN, Fault.SILENCE));
+        RecordingSink running = new RecordingSink();
+        mFixture.mRouter.submit(
+                mFixture.request("s", true, Optional.empty(), Optional.of(until)), running);
+        advance(Duration.ofMillis(1001));
+        Outcome.NotRun notRun = assertInstanceOf(Outcome.NotRun.class, mSink.outcome());
+        assertEquals(RefusalReason.DEADLINE_UNREACHABLE, notRun.reason());
+        assertInstanceOf(Outcome.Interrupted.class, running.outcome());
+    }
+
+    @Test
+    void refusedAdmissionIsToldAsNotRun() {
+        mFixture.mAdmission.mRefusal =
+                Optional.of(
+                        new AdmissionDecision.Refused(
+                                RefusalReason.QUEUE_FULL, "full", Optional.of(LONG)));
+        submit(true, Optional.empty());
+        Outcome.NotRun notRun = assertInstanceOf(Outcome.NotRun.class, mSink.outcome());
+        assertEquals(RefusalReason.QUEUE_FULL, notRun.reason());
+        assertEquals(Optional.of(LONG), notRun.retryAfter());
+    }
+
+    @Test
+    void drainRefusesNewRequestsAndCutsNone() {
+        submit(true, Optional.empty());
+        advance(Duration.ofMillis(60));
+        CompletableFuture<Void> drained = mFixture.mRouter.drain().toCompletableFuture();
+        RecordingSink late = new RecordingSink();
+        mFixture.mRouter.submit(mFixture.request("l", true, Optional.empty()), late);
+        Outcome.NotRun notRun = assertInstanceOf(Outcome.NotRun.class, late.outcome());
+        assertEquals(RefusalReason.LEAVING, notRun.reason());
+        assertFalse(drained.isDone());
+        advance(LONG);
+        assertTrue(drained.isDone());
+        assertEquals(RequestFixture.wholeText("r"), mSink.text());
+    }
+
+    @Test
+    void whatRunsAtTheEndOfTheGraceIsToldTruly() {
+        mFixture.mAdmission.mHoldsBack = true;
+        RecordingSink waiting = new RecordingSink();
+        mFixture.mRouter.submit(mFixture.request("w", true, Optional.empty()), waiting);
+        mFixture.mAdmission.mHoldsBack = false;
+        submit(true, Optional.empty());
+        advance(Duration.ofMillis(60));
+        CompletableFuture<Void> drained = mFixture.mRouter.drain().toCompletableFuture();
+        mFixture.mRouter.interruptAll("the grace is over");
+        assertInstanceOf(Outcome.NotRun.class, waiting.outcome());
+        assertInstanceOf(Outcome.Interrupted.class, mSink.outcome());
+        assertTrue(drained.isDone());
+    }
+
+    @Test
+    void everyDecisionOnARequestIsExplained() {
+        failFirstAttempt(Step.MID_STREAM, Fault.STAGE_DEATH);
+        submit(true, Optional.empty());
+        advance(LONG);
+        Approvals.verify(
+                mFixture.mTrail.entries("r").stream()
+                        .map(entry -> entry.kind().label() + ": " + entry.text())
+                        .collect(Collectors.joining("\n")));
+    }
+}
