--- a/core/src/main/java/org/amaranthpick/core/placement/ChainGuard.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ChainGuard.java
@@ -38,15 +38,16 @@
         gone.add(engine);
         Predicate<EngineSurvey.Entry> relied = e -> reliesOn(model.id(), e.spec().domain());
         Predicate<EngineSurvey.Entry> left = e -> e.usable() && !gone.contains(e.spec().id());
-        Collection<LayerRange> known = ranges(model, relied);
-        if (hasChain(model, known)) {
-            return keepsChain(model, known, ranges(model, relied.and(left)));
+        if (keepsOwnChain(model)) {
+            return keepsChain(model, ranges(model, relied), ranges(model, relied.and(left)));
         }
         return keepsChain(model, ranges(model, e -> true), ranges(model, left));
     }
 
-    private static boolean hasChain(ModelVersionSpec model, Collection<LayerRange> ranges) {
-        return ChainCover.isCovered(model.layers(), ranges);
+    /** Tells whether this domain, with those above it, has a chain that it must keep. */
+    boolean keepsOwnChain(ModelVersionSpec model) {
+        Collection<LayerRange> known = ranges(model, e -> reliesOn(model.id(), e.spec().domain()));
+        return ChainCover.isCovered(model.layers(), known);
     }
 
     private static boolean keepsChain(
--- a/core/src/main/java/org/amaranthpick/core/placement/MemoryEngine.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/MemoryEngine.java
@@ -76,6 +76,15 @@
         mFence = 0;
     }
 
+    /**
+     * Makes it hold something at once, without a load.
+     *
+     * @param holdings what it holds from now on
+     */
+    public void loadNow(List<UpstreamSpec.Holding> holdings) {
+        mHoldings = List.copyOf(holdings);
+    }
+
     /**
      * Sets whether it is leaving.
      *
--- a/core/src/test/java/org/amaranthpick/core/placement/PlacementRig.java
+++ b/core/src/test/java/org/amaranthpick/core/placement/PlacementRig.java
@@ -273,6 +273,7 @@
         final Blackboard mBoard = new Blackboard();
         final FaultyStore mStore = new FaultyStore(mObjects, mScheduler);
         final Map<Integer, PeerHandler> mHandlers = new HashMap<>();
+        PlacementContext mContext;
         PlacementService mService;
         boolean mRuns = true;
         boolean mMember = true;
@@ -291,7 +292,7 @@
 
         void start() {
             Random random = new Random(mSelf.host().name().hashCode() + mBoot);
-            PlacementContext context =
+            mContext =
                     new PlacementContext(
                             mStore,
                             mEngines,
@@ -311,7 +312,7 @@
                             new LayerTreePlanner(),
                             id -> mDemand.getOrDefault(id.name(), 100.0),
                             (from, to) -> mLinks.degraded(from, to));
-            mService = new PlacementService(context, policy);
+            mService = new PlacementService(mContext, policy);
         }
 
         /** The process ends without a word; the other daemons see it gone. */
