Connect the daemons by the peer transport

Cause: daemons knew each other's names only. Change: the transport with every family's codecs under membership, configuration, observation, claims and placement; peer keys of at least 32 bytes.

--- a/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
@@ -1,5 +1,6 @@
 package org.amaranthpick.server.daemon;
 
+import java.io.IOException;
 import org.amaranthpick.core.board.Controller;
 import org.amaranthpick.core.claim.ClaimSettings;
 import org.amaranthpick.core.claim.Claims;
@@ -23,6 +24,7 @@
 import org.amaranthpick.core.retry.OutlierEjection;
 import org.amaranthpick.core.retry.RampSlowStart;
 import org.amaranthpick.core.retry.SlowStart;
+import org.amaranthpick.server.peer.PeerCounters;
 
 /** Control jobs of a daemon: membership, configuration, observation, claims, placement. */
 final class ControlPlane implements AutoCloseable {
@@ -31,6 +33,7 @@
     private static final int CONFIGURATION_RANDOM = 4;
     private static final int MEMBERSHIP_RANDOM = 5;
 
+    private final PeerAccess mPeers;
     private final ConfigurationInForce mInForce;
     private final ConfigurationService mConfiguration;
     private final Membership mMembers;
@@ -41,9 +44,11 @@
     private final OutlierEjection mEjection;
     private final RampSlowStart mSlowStart;
 
-    ControlPlane(Foundation base) {
-        PeerNetwork network = new SoloNetwork(base.settings().host());
+    ControlPlane(Foundation base) throws IOException {
+        mPeers = new PeerAccess(base);
+        PeerNetwork network = mPeers.transport();
         mMembers = membership(base, network);
+        mPeers.findAddressesBy(mMembers::addressOf);
         mInForce = new ConfigurationInForce(base.invariants(), base.decisions());
         ConfigurationStore stored =
                 new ConfigurationStore(base.store(), base.scheduler(), base.tokens());
@@ -103,6 +108,10 @@
         return mConfiguration;
     }
 
+    PeerCounters peerCounters() {
+        return mPeers.transport().counters();
+    }
+
     Membership members() {
         return mMembers;
     }
@@ -134,6 +143,7 @@
         mPlacement.close();
         mConfiguration.close();
         mMembers.close();
+        mPeers.close();
     }
 
     private static Membership membership(Foundation base, PeerNetwork network) {
--- a/server/src/main/java/org/amaranthpick/server/daemon/SettingsReader.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/SettingsReader.java
@@ -17,6 +17,7 @@
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.name.ResourceKind;
 import org.amaranthpick.server.caller.CallerLimits;
+import org.amaranthpick.server.peer.PeerKeys;
 
 /**
  * Reads settings from flags and environment variables and checks them all; every fault is reported,
@@ -29,7 +30,7 @@
     private static final Pattern SEED = Pattern.compile("([^@]+)@([^@]+)@([^@]+)@([^@]+)");
     private static final String SEED_REMEDY =
             "write fleet/entry-2@10.0.0.7:7400@fleet/domain@region";
-    private static final int MIN_KEY_LENGTH = 16;
+    private static final int MIN_TOKEN_LENGTH = 16;
     private static final int MIN_DEFAULT_THREADS = 2;
 
     private final Map<String, String> mFlags;
@@ -69,7 +70,7 @@
                         parse("store-address", "http://127.0.0.1:1", SettingsReader::uri),
                         value("store-token"),
                         peerKeys(),
-                        secret("operator-token"),
+                        secret("operator-token", MIN_TOKEN_LENGTH),
                         seeds(fleet),
                         limits(),
                         duration("drain-grace", Duration.ofMinutes(10)),
@@ -96,8 +97,10 @@
 
     private List<String> peerKeys() {
         List<String> keys = new ArrayList<>();
-        keys.add(secret("peer-key"));
-        value("peer-key-previous").ifPresent(keys::add);
+        keys.add(secret("peer-key", PeerKeys.MIN_KEY_BYTES));
+        if (value("peer-key-previous").isPresent()) {
+            keys.add(secret("peer-key-previous", PeerKeys.MIN_KEY_BYTES));
+        }
         return keys;
     }
 
@@ -130,10 +133,10 @@
         }
     }
 
-    private String secret(String name) {
-        String secret = text(name, "x".repeat(MIN_KEY_LENGTH));
-        if (secret.length() < MIN_KEY_LENGTH) {
-            fault(name, "is too short", "use at least " + MIN_KEY_LENGTH + " characters");
+    private String secret(String name, int minLength) {
+        String secret = text(name, "x".repeat(minLength));
+        if (secret.length() < minLength) {
+            fault(name, "is too short", "use at least " + minLength + " characters");
         }
         return secret;
     }
--- a/server/src/test/java/org/amaranthpick/server/daemon/SettingsReaderTest.java
+++ b/server/src/test/java/org/amaranthpick/server/daemon/SettingsReaderTest.java
@@ -20,7 +20,7 @@
                     "operator-address", "127.0.0.1:8081",
                     "peer-address", "127.0.0.1:8082",
                     "store-address", "http://127.0.0.1:9000",
-                    "peer-key", "0123456789abcdef",
+                    "peer-key", "0123456789abcdef0123456789abcdef",
                     "operator-token", "fedcba9876543210");
 
     @Test
@@ -45,7 +45,7 @@
                 Map.of(
                         "AMARANTHPICK_DRAIN_GRACE", "PT2M",
                         "AMARANTHPICK_BALANCER_LAG", "PT7S",
-                        "AMARANTHPICK_PEER_KEY_PREVIOUS", "an-older-peer-key");
+                        "AMARANTHPICK_PEER_KEY_PREVIOUS", "an-older-peer-key-of-enough-bytes");
         Settings settings = new SettingsReader(flags, environment).read();
         assertEquals(Duration.ofMinutes(1), settings.drainGrace());
         assertEquals(Duration.ofSeconds(7), settings.balancerLag());
--- a/tools/src/main/java/org/amaranthpick/tools/demo/DemoDaemons.java
+++ b/tools/src/main/java/org/amaranthpick/tools/demo/DemoDaemons.java
@@ -57,7 +57,7 @@
         flags.put("operator-address", "127.0.0.1:" + freePort());
         flags.put("peer-address", "127.0.0.1:" + peerPorts.get(index));
         flags.put("store-address", store.toString());
-        flags.put("peer-key", "demo-peer-key-0001");
+        flags.put("peer-key", "demo-peer-key-of-at-least-32-bytes");
         flags.put("operator-token", OPERATOR_TOKEN);
         flags.put("seeds", seeds(peerPorts));
         flags.put("balancer-lag", "PT0.5S");
