--- a/core/src/main/java/org/amaranthpick/core/config/ManifestChunks.java
+++ b/core/src/main/java/org/amaranthpick/core/config/ManifestChunks.java
@@ -140,7 +140,7 @@
     }
 
     /** Returns what an item is sorted and split by: its name, or the two ends of a link. */
-    private static String key(JsonNode item) {
+    static String key(JsonNode item) {
         return item.has("name")
                 ? item.path("name").asText()
                 : item.path("from").asText() + " " + item.path("to").asText();
--- a/core/src/main/java/org/amaranthpick/core/config/RootWatch.java
+++ b/core/src/main/java/org/amaranthpick/core/config/RootWatch.java
@@ -16,6 +16,7 @@
  */
 final class RootWatch {
     private static final Duration MAX_SILENCE = Duration.ofSeconds(3);
+    private static final Duration RELIST_PERIOD = Duration.ofSeconds(60);
     private static final Duration MIN_BACKOFF = Duration.ofMillis(500);
     private static final Duration MAX_BACKOFF = Duration.ofSeconds(2);
 
@@ -28,6 +29,7 @@
     private Duration mBackoff = MIN_BACKOFF;
     private long mRun;
     private long mHeardNs;
+    private long mListedNs;
     private long mRetryNs;
     private boolean mListing;
     private long mReplaced;
@@ -55,9 +57,8 @@
         boolean silent = nowNs - mHeardNs > MAX_SILENCE.toNanos();
         if (mWatch.isPresent() && silent) {
             mReplaced++;
-            stop();
         }
-        if (mListing && silent) {
+        if (silent || nowNs - mListedNs > RELIST_PERIOD.toNanos()) {
             stop();
         }
         if (mWatch.isEmpty() && !mListing && nowNs >= mRetryNs) {
@@ -81,6 +82,7 @@
         long run = ++mRun;
         mListing = true;
         mHeardNs = mScheduler.monotonicNs();
+        mListedNs = mHeardNs;
         mStore.store()
                 .list(ConfigurationStore.ROOT_KEY)
                 .thenAccept(
--- a/core/src/test/java/org/amaranthpick/core/config/FaultyStore.java
+++ b/core/src/test/java/org/amaranthpick/core/config/FaultyStore.java
@@ -119,9 +119,10 @@
         return future;
     }
 
-    /** Drops the events of a watch while it is cut or silent. */
+    /** Silences a watch for good once an event was lost. */
     private final class Filter implements WatchListener {
         private final WatchListener mListener;
+        private boolean mSilenced;
 
         Filter(WatchListener listener) {
             mListener = listener;
@@ -131,7 +132,8 @@
             mScheduler.schedule(
                     mDelay,
                     () -> {
-                        if (!mDown && !mSilent) {
+                        mSilenced |= mDown || mSilent;
+                        if (!mSilenced) {
                             event.run();
                         }
                     });
