--- a/core/src/test/java/org/amaranthpick/core/request/RequestFixture.java
+++ b/core/src/test/java/org/amaranthpick/core/request/RequestFixture.java
@@ -34,8 +34,10 @@
 import org.amaranthpick.core.route.Hop;
 import org.amaranthpick.core.route.KvSource;
 import org.amaranthpick.core.time.Cancellable;
+import org.amaranthpick.core.time.Scheduler;
 import org.amaranthpick.core.time.VirtualScheduler;
 import org.amaranthpick.core.upstream.ServiceCall;
+import org.amaranthpick.core.upstream.UpstreamClient;
 
 /** One router over fakes on virtual time. */
 final class RequestFixture {
@@ -47,13 +49,14 @@
 
     final VirtualScheduler mScheduler;
     final FakeUpstreams mUpstreams;
-    final Invariants mInvariants = new Invariants();
+    final Invariants mInvariants;
     final DecisionTrail mTrail;
     final FakeFeedback mFeedback = new FakeFeedback();
     final FakeAdmission mAdmission = new FakeAdmission();
     final FakeRetries mRetries = new FakeRetries();
     final List<ChainRequest> mChainRequests = new ArrayList<>();
     final RequestRouter mRouter;
+    boolean mNoCapacity;
     final ModelVersionSpec mModel =
             new ModelVersionSpec(id(ResourceKind.MODEL_VERSION, "m"), 8, 1, 1, 1);
     final PipelineSpec mPipeline =
@@ -77,9 +80,19 @@
         this(claims, new VirtualScheduler(START));
     }
 
-    RequestFixture(Claims claims, VirtualScheduler scheduler) {
-        mScheduler = scheduler;
-        mUpstreams = new FakeUpstreams(scheduler);
+    private RequestFixture(Claims claims, VirtualScheduler scheduler) {
+        this(claims, scheduler, scheduler, new FakeUpstreams(scheduler), new Invariants());
+    }
+
+    RequestFixture(
+            Claims claims,
+            VirtualScheduler time,
+            Scheduler scheduler,
+            UpstreamClient upstreams,
+            Invariants invariants) {
+        mScheduler = time;
+        mInvariants = invariants;
+        mUpstreams = upstreams instanceof FakeUpstreams fake ? fake : new FakeUpstreams(time);
         mTrail = new DecisionTrail(scheduler, 100);
         mConfiguration = new Configuration(1, "digest", manifest());
         mRouter =
@@ -90,7 +103,7 @@
                                 mAdmission,
                                 mRetries,
                                 claims,
-                                mUpstreams,
+                                upstreams,
                                 new SpreadInstances(DOMAIN, upstream -> true),
                                 new EstimatingPromptAnalyzer(),
                                 scheduler,
@@ -109,12 +122,21 @@
 
     CallerRequest request(
             String requestId, boolean idempotent, Optional<String> key, Optional<Instant> until) {
+        return request(requestId, "prompt", idempotent, key, until);
+    }
+
+    CallerRequest request(
+            String requestId,
+            String prompt,
+            boolean idempotent,
+            Optional<String> key,
+            Optional<Instant> until) {
         return new CallerRequest(
                 requestId,
                 mConfiguration,
                 mWorkspace,
                 mPipeline,
-                "prompt",
+                prompt,
                 16,
                 5,
                 until,
@@ -170,6 +192,9 @@
 
     private ChainDecision choose(ChainRequest request) {
         mChainRequests.add(request);
+        if (mNoCapacity) {
+            return new ChainDecision.NoChain("no stage left", Optional.empty());
+        }
         Optional<Hop> first = hop(request, FIRST, new LayerRange(0, 4));
         Optional<Hop> second = hop(request, SECOND, new LayerRange(4, 8));
         if (first.isEmpty() || second.isEmpty()) {
@@ -225,6 +250,7 @@
 
     /** Allows a number of retries, each after 10 ms. */
     static final class FakeRetries implements RetryPolicy {
+        final List<Integer> mAttempts = new ArrayList<>();
         int mLeft = 4;
 
         @Override
@@ -232,6 +258,7 @@
 
         @Override
         public Optional<Duration> next(String requestId, int attempt, Optional<Duration> timeLeft) {
+            mAttempts.add(attempt);
             return mLeft-- > 0 ? Optional.of(Duration.ofMillis(10)) : Optional.empty();
         }
     }
--- a/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
@@ -1,37 +1,61 @@
 package org.amaranthpick.server.daemon;
 
+import org.amaranthpick.core.board.Controller;
 import org.amaranthpick.core.claim.ClaimSettings;
 import org.amaranthpick.core.claim.Claims;
 import org.amaranthpick.core.claim.JournalClaims;
 import org.amaranthpick.core.config.ConfigurationInForce;
 import org.amaranthpick.core.config.ConfigurationService;
 import org.amaranthpick.core.config.ConfigurationStore;
-import org.amaranthpick.core.member.MemberView;
-import org.amaranthpick.core.observe.UpstreamPoller;
+import org.amaranthpick.core.member.Incarnations;
+import org.amaranthpick.core.member.Member;
+import org.amaranthpick.core.member.MemberState;
+import org.amaranthpick.core.member.Membership;
+import org.amaranthpick.core.member.MembershipSettings;
+import org.amaranthpick.core.observe.DigestSettings;
+import org.amaranthpick.core.observe.Observation;
+import org.amaranthpick.core.observe.PrefixIndex;
 import org.amaranthpick.core.peer.PeerNetwork;
 import org.amaranthpick.core.placement.PlacementContext;
 import org.amaranthpick.core.placement.PlacementService;
 import org.amaranthpick.core.placement.PlacementSettings;
+import org.amaranthpick.core.retry.CappedOutlierEjection;
+import org.amaranthpick.core.retry.OutlierEjection;
+import org.amaranthpick.core.retry.RampSlowStart;
+import org.amaranthpick.core.retry.SlowStart;
 
 /** Control jobs of a daemon: membership, configuration, observation, claims, placement. */
 final class ControlPlane implements AutoCloseable {
     private static final int LOOP_RANDOM = 1;
     private static final int PLACEMENT_RANDOM = 2;
+    private static final int CONFIGURATION_RANDOM = 4;
+    private static final int MEMBERSHIP_RANDOM = 5;
 
     private final ConfigurationInForce mInForce;
     private final ConfigurationService mConfiguration;
-    private final MemberView mMembers;
+    private final Membership mMembers;
     private final Claims mClaims;
     private final PlacementService mPlacement;
     private final ControlLoop mLoop;
+    private final PrefixIndex mPrefixes;
+    private final OutlierEjection mEjection;
+    private final RampSlowStart mSlowStart;
 
     ControlPlane(Foundation base) {
         PeerNetwork network = new SoloNetwork(base.settings().host());
-        mMembers = new SoloMembers(base.settings(), base.scheduler().instant().toEpochMilli());
+        mMembers = membership(base, network);
         mInForce = new ConfigurationInForce(base.invariants(), base.decisions());
         ConfigurationStore stored =
                 new ConfigurationStore(base.store(), base.scheduler(), base.tokens());
-        mConfiguration = new ConfigurationService(stored, base.scheduler(), mInForce);
+        mConfiguration =
+                new ConfigurationService(
+                        stored,
+                        mInForce,
+                        mMembers,
+                        network,
+                        base.controlScheduler(),
+                        base.random(CONFIGURATION_RANDOM));
+        mMembers.exchangeGenerations(mConfiguration);
         mClaims =
                 new JournalClaims(
                         ClaimSettings.defaults(),
@@ -43,17 +67,31 @@
                         base.decisions());
         mPlacement = new PlacementService(placement(base, network));
         mLoop = new ControlLoop(base.controlScheduler(), base.random(LOOP_RANDOM));
-        mLoop.add(
-                new UpstreamPoller(
-                        base.board(),
+        Observation observation =
+                new Observation(
+                        new Observation.Context(
+                                base.board(),
+                                mInForce,
+                                mMembers,
+                                base.upstreams(),
+                                network,
+                                base.controlScheduler(),
+                                DigestSettings.DEFAULT));
+        mPrefixes = observation.prefixes();
+        observation.controllers().forEach(mLoop::add);
+        mEjection =
+                new CappedOutlierEjection(
+                        CappedOutlierEjection.Settings.DEFAULT,
                         mInForce,
-                        mMembers,
-                        base.upstreams(),
-                        base.controlScheduler()));
+                        base.scheduler(),
+                        base.decisions());
+        mSlowStart = new RampSlowStart(base.board(), base.scheduler());
+        mLoop.add(mSlowStart);
         mLoop.add(mPlacement);
     }
 
     void start() {
+        mMembers.start();
         mConfiguration.start();
     }
 
@@ -61,10 +99,31 @@
         return mInForce;
     }
 
-    MemberView members() {
+    ConfigurationService configurationService() {
+        return mConfiguration;
+    }
+
+    Membership members() {
         return mMembers;
     }
 
+    /** Runs one more control job. */
+    void run(Controller controller) {
+        mLoop.add(controller);
+    }
+
+    PrefixIndex prefixes() {
+        return mPrefixes;
+    }
+
+    OutlierEjection ejection() {
+        return mEjection;
+    }
+
+    SlowStart slowStart() {
+        return mSlowStart;
+    }
+
     Claims claims() {
         return mClaims;
     }
@@ -74,6 +133,27 @@
         mLoop.close();
         mPlacement.close();
         mConfiguration.close();
+        mMembers.close();
+    }
+
+    private static Membership membership(Foundation base, PeerNetwork network) {
+        Settings settings = base.settings();
+        Member self =
+                new Member(
+                        settings.host(),
+                        settings.peerAddress(),
+                        settings.domain(),
+                        settings.region(),
+                        Incarnations.atStart(base.scheduler().instant()),
+                        MemberState.ALIVE);
+        return new Membership(
+                self,
+                network,
+                new StoreHostDirectory(base.store(), settings.seeds()),
+                base.controlScheduler(),
+                base.random(MEMBERSHIP_RANDOM),
+                base.decisions(),
+                MembershipSettings.DEFAULT);
     }
 
     private PlacementContext placement(Foundation base, PeerNetwork network) {
