Share workspace limits over daemons and queue fairly

Cause: limits counted on one daemon only, first come first served. Change: each failure domain hands out a fixed part of every limit, so domains that are cut off never exceed it together; within a domain one home per shard (consents of a majority, kept nowhere) grants amounts of requests and tokens and leases of places, the side that grants waiting longer than the side that uses. Domains lend to each other what they do not use. FairAdmission queues per workspace by weight, priority worth a bounded head start, refuses early what a deadline or the wait cannot meet, always with a time to come back. DelayWindowGate keeps engine queues short. Choosers and the retry policy leave the decision line to the request. Broken variants shown failing: no quiet time of a new home (15 places of 14), old asks taken, consent to all candidates (24 of 22). Shorter promises alone were not caught within 100 tries. Conclusion: measuring follows; the daemon runs LocalLimits until peers are wired.

--- a/core/src/main/java/org/amaranthpick/core/name/Identity.java
+++ b/core/src/main/java/org/amaranthpick/core/name/Identity.java
@@ -71,6 +71,12 @@
         return key().compareTo(other.key());
     }
 
+    /** Hashes the parts alike in every process, so that maps of identities iterate alike too. */
+    @Override
+    public int hashCode() {
+        return 31 * (31 * fleet.hashCode() + kind.label().hashCode()) + name.hashCode();
+    }
+
     @Override
     public String toString() {
         return key();
--- a/core/src/main/java/org/amaranthpick/core/retry/BudgetRetryPolicy.java
+++ b/core/src/main/java/org/amaranthpick/core/retry/BudgetRetryPolicy.java
@@ -3,14 +3,11 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import org.amaranthpick.core.explain.DecisionKind;
-import org.amaranthpick.core.explain.DecisionLog;
 
 /** Retries from a budget that is a share of the traffic, with jittered exponential backoff. */
 public final class BudgetRetryPolicy implements RetryPolicy {
     private final Settings mSettings;
     private final RandomGenerator mRandom;
-    private final DecisionLog mLog;
     private double mBudget;
 
     /**
@@ -38,12 +35,10 @@
      *
      * @param settings settings
      * @param random source of the jitter
-     * @param log told of each decision
      */
-    public BudgetRetryPolicy(Settings settings, RandomGenerator random, DecisionLog log) {
+    public BudgetRetryPolicy(Settings settings, RandomGenerator random) {
         mSettings = settings;
         mRandom = random;
-        mLog = log;
         mBudget = settings.reserve();
     }
 
@@ -55,17 +50,11 @@
     @Override
     public Optional<Duration> next(String requestId, int attempt, Optional<Duration> timeLeft) {
         if (attempt >= mSettings.maxAttempts()) {
-            return none(requestId, "no retry: " + attempt + " attempts failed");
+            return Optional.empty();
         }
         Duration wait = backoff(attempt);
-        if (timeLeft.isPresent() && timeLeft.get().compareTo(wait) <= 0) {
-            return none(requestId, "no retry: deadline comes first");
-        }
-        if (!take()) {
-            return none(requestId, "no retry: retry budget is spent");
-        }
-        mLog.record(DecisionKind.RETRY, requestId, "retry after " + wait.toMillis() + " ms");
-        return Optional.of(wait);
+        boolean late = timeLeft.isPresent() && timeLeft.get().compareTo(wait) <= 0;
+        return late || !take() ? Optional.empty() : Optional.of(wait);
     }
 
     private synchronized boolean take() {
@@ -81,9 +70,4 @@
         boundNs = Math.min(boundNs, mSettings.maxBackoff().toNanos());
         return Duration.ofNanos(mRandom.nextLong(boundNs + 1));
     }
-
-    private Optional<Duration> none(String requestId, String text) {
-        mLog.record(DecisionKind.RETRY, requestId, text);
-        return Optional.empty();
-    }
 }
--- /dev/null
+++ b/core/src/test/java/org/amaranthpick/core/admit/LimitFleet.java
@@ -0,0 +1,195 @@
+package org.amaranthpick.core.admit;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.amaranthpick.core.config.Configuration;
+import org.amaranthpick.core.invariant.Invariants;
+import org.amaranthpick.core.manifest.DomainSpec;
+import org.amaranthpick.core.manifest.Manifest;
+import org.amaranthpick.core.manifest.WorkspaceSpec;
+import org.amaranthpick.core.member.FixedMembers;
+import org.amaranthpick.core.member.Member;
+import org.amaranthpick.core.name.Identity;
+import org.amaranthpick.core.name.ResourceKind;
+import org.amaranthpick.core.peer.PeerHub;
+import org.amaranthpick.core.route.Fleet;
+import org.amaranthpick.core.time.VirtualScheduler;
+
+/** Daemons that share the limits of one workspace, in one process on virtual time. */
+final class LimitFleet {
+    private final VirtualScheduler mScheduler = new VirtualScheduler(Fleet.ORIGIN);
+    private final Invariants mInvariants = new Invariants();
+    private final PeerHub mHub;
+    private final WorkspaceSpec mWorkspace;
+    private final Configuration mConfiguration;
+    private final List<Member> mAll = new ArrayList<>();
+    private final Map<Identity, Daemon> mDaemons = new HashMap<>();
+
+    /** One daemon. */
+    final class Daemon {
+        private final FixedMembers mMembers;
+        private final SharedLimits mLimits;
+        private boolean mPaused;
+        private boolean mDead;
+        private int mRunning;
+        private int mStarted;
+        private long mTokens;
+
+        Daemon(Member self) {
+            mMembers = new FixedMembers(self.host(), mAll);
+            mMembers.set(mAll);
+            mLimits =
+                    new SharedLimits(
+                            new SharedLimits.Context(
+                                    () -> Optional.of(mConfiguration),
+                                    mMembers,
+                                    mHub.network(self.host()),
+                                    mScheduler,
+                                    (kind, subject, text) -> {},
+                                    mInvariants));
+            tick();
+        }
+
+        private void tick() {
+            if (mDead) {
+                return;
+            }
+            if (!mPaused) {
+                mLimits.step();
+            }
+            mScheduler.schedule(mLimits.period(), this::tick);
+        }
+
+        boolean start(int tokens) {
+            boolean started = mLimits.tryStart(mWorkspace, tokens);
+            if (started) {
+                mRunning++;
+                mStarted++;
+                mTokens += tokens;
+            }
+            mLimits.waiting(mWorkspace, started ? 0 : 1, started ? 0 : tokens);
+            return started;
+        }
+
+        void finish(int tokens) {
+            if (mRunning > 0) {
+                mRunning--;
+                mLimits.finish(mWorkspace, tokens, tokens);
+            }
+        }
+
+        void pause(boolean paused) {
+            mPaused = paused;
+        }
+
+        boolean isPaused() {
+            return mPaused;
+        }
+
+        int running() {
+            return mRunning;
+        }
+
+        FixedMembers members() {
+            return mMembers;
+        }
+    }
+
+    LimitFleet(
+            int domains,
+            int perDomain,
+            WorkspaceSpec.Limits limits,
+            RandomGenerator random,
+            double loss) {
+        mHub = new PeerHub(mScheduler, random, loss, ShareCodecs.all());
+        mWorkspace =
+                new WorkspaceSpec(
+                        Fleet.id(ResourceKind.WORKSPACE, "planner"),
+                        List.of(),
+                        limits,
+                        1,
+                        List.of(),
+                        List.of());
+        List<DomainSpec> specs = new ArrayList<>();
+        for (int d = 0; d < domains; d++) {
+            specs.add(new DomainSpec(Fleet.domain("kl-" + d), "kl"));
+            for (int i = 0; i < perDomain; i++) {
+                Identity host = Fleet.id(ResourceKind.HOST, "h-" + d + "-" + i);
+                mAll.add(FixedMembers.member(host, Fleet.domain("kl-" + d), "kl"));
+            }
+        }
+        List<String> fleets = List.of("kenanga");
+        mConfiguration =
+                new Configuration(
+                        1,
+                        "digest",
+                        new Manifest(
+                                fleets,
+                                specs,
+                                List.of(),
+                                List.of(),
+                                List.of(),
+                                List.of(),
+                                List.of(),
+                                List.of(),
+                                List.of(),
+                                List.of(mWorkspace),
+                                List.of()));
+        mAll.forEach(member -> mDaemons.put(member.host(), new Daemon(member)));
+    }
+
+    void restart(Member member) {
+        mDaemons.get(member.host()).mDead = true;
+        mDaemons.put(member.host(), new Daemon(member));
+    }
+
+    void advance(Duration step) {
+        mScheduler.advance(step);
+    }
+
+    List<Member> all() {
+        return mAll;
+    }
+
+    Daemon daemon(int index) {
+        return mDaemons.get(mAll.get(index).host());
+    }
+
+    PeerHub hub() {
+        return mHub;
+    }
+
+    Invariants invariants() {
+        return mInvariants;
+    }
+
+    /** Cuts or joins two domains. */
+    void cutDomains(int a, int b, boolean cut) {
+        for (Member from : mAll) {
+            for (Member to : mAll) {
+                if (from.domain().equals(Fleet.domain("kl-" + a))
+                        && to.domain().equals(Fleet.domain("kl-" + b))) {
+                    mHub.cut(from.host(), to.host(), cut);
+                }
+            }
+        }
+    }
+
+    /** Places that all daemons together may fill now. */
+    int places() {
+        return mDaemons.values().stream().mapToInt(d -> d.mLimits.places(mWorkspace)).sum();
+    }
+
+    int started() {
+        return mDaemons.values().stream().mapToInt(d -> d.mStarted).sum();
+    }
+
+    long tokens() {
+        return mDaemons.values().stream().mapToLong(d -> d.mTokens).sum();
+    }
+}
--- a/core/src/test/java/org/amaranthpick/core/retry/BudgetRetryPolicyTest.java
+++ b/core/src/test/java/org/amaranthpick/core/retry/BudgetRetryPolicyTest.java
@@ -12,7 +12,7 @@
     private static final BudgetRetryPolicy.Settings SETTINGS = BudgetRetryPolicy.Settings.DEFAULT;
 
     private static BudgetRetryPolicy policy() {
-        return new BudgetRetryPolicy(SETTINGS, new Random(7), (kind, id, text) -> {});
+        return new BudgetRetryPolicy(SETTINGS, new Random(7));
     }
 
     /** When every attempt fails, retries stay a share of the traffic. */
--- a/server/src/main/java/org/amaranthpick/server/daemon/RequestPath.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/RequestPath.java
@@ -1,6 +1,11 @@
 package org.amaranthpick.server.daemon;
 
-import org.amaranthpick.core.admit.LocalAdmission;
+import org.amaranthpick.core.admit.Admission;
+import org.amaranthpick.core.admit.AdmissionSettings;
+import org.amaranthpick.core.admit.DelayWindowGate;
+import org.amaranthpick.core.admit.FairAdmission;
+import org.amaranthpick.core.admit.GatedFeedback;
+import org.amaranthpick.core.admit.LocalLimits;
 import org.amaranthpick.core.request.EstimatingPromptAnalyzer;
 import org.amaranthpick.core.request.RequestRouter;
 import org.amaranthpick.core.request.RequestSettings;
@@ -12,7 +17,6 @@
 final class RequestPath {
     private static final int RETRY_RANDOM = 3;
     private static final int CHOICE_RANDOM = 4;
-    private static final int MAX_WAITING = 256;
 
     private final RequestRouter mRouter;
 
@@ -30,15 +34,21 @@
                         control.slowStart(),
                         control.prefixes());
         routing.controllers().forEach(control::run);
+        DelayWindowGate gate =
+                new DelayWindowGate(DelayWindowGate.Settings.DEFAULT, base.scheduler());
+        Admission admission =
+                new FairAdmission(
+                        AdmissionSettings.DEFAULT,
+                        new LocalLimits(base.scheduler()),
+                        gate,
+                        base.scheduler());
         RouterParts parts =
                 new RouterParts(
                         routing.chooser(),
-                        routing.feedback(),
-                        new LocalAdmission(MAX_WAITING, base.decisions()),
+                        new GatedFeedback(routing.feedback(), gate),
+                        admission,
                         new BudgetRetryPolicy(
-                                BudgetRetryPolicy.Settings.DEFAULT,
-                                base.random(RETRY_RANDOM),
-                                base.decisions()),
+                                BudgetRetryPolicy.Settings.DEFAULT, base.random(RETRY_RANDOM)),
                         control.claims(),
                         base.upstreams(),
                         routing.services()::choose,
