--- a/core/src/main/java/org/amaranthpick/core/observe/Assignments.java
+++ b/core/src/main/java/org/amaranthpick/core/observe/Assignments.java
@@ -16,9 +16,10 @@
 import org.amaranthpick.core.name.Identity;
 
 /**
- * Tells which upstreams this daemon observes. Each is observed by two daemons of its domain, chosen
- * by rendezvous; a domain without daemons is observed from its region, a region without from
- * anywhere. Computed anew only when the configuration or the membership changed.
+ * Tells which engines this daemon observes; service instances have no status to read. Each is
+ * observed by two daemons of its domain, chosen by rendezvous; a domain without daemons is observed
+ * from its region, a region without from anywhere. Computed anew only when the configuration or the
+ * membership changed.
  */
 final class Assignments {
     /** Observers of one upstream. */
@@ -78,6 +79,9 @@
         Map<Identity, Assignment> assigned = new HashMap<>();
         Identity self = mMembers.self().host();
         for (UpstreamSpec spec : configuration.manifest().upstreams()) {
+            if (spec.role() != UpstreamSpec.Role.ENGINE) {
+                continue;
+            }
             List<Member> candidates = byDomain.get(spec.domain());
             if (candidates == null) {
                 String region =
--- a/core/src/main/java/org/amaranthpick/core/placement/Draft.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/Draft.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.core.placement;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,8 @@
     /** Share of an engine's memory that new weights may take; the rest is KV cache and adapters. */
     static final double WEIGHT_SHARE = 0.7;
 
+    private static final int PINNED_WEIGHT = 1_000;
+
     private final List<ModelNeed> mModels;
     private final Set<Identity> mCutOff;
     private final Map<Identity, Integer> mModelIndex = new HashMap<>();
@@ -46,12 +49,16 @@
     }
 
     private static List<LayerRange> heldRanges(PlanInput input, Identity model) {
-        return input.engines().stream()
-                .filter(EngineView::usable)
-                .flatMap(engine -> engine.holdings().stream())
-                .filter(holding -> holding.modelVersion().equals(model))
-                .map(UpstreamSpec.Holding::layers)
-                .toList();
+        List<LayerRange> ranges = new ArrayList<>();
+        for (EngineView engine : input.engines()) {
+            int weight = input.pinned().contains(engine.id()) ? PINNED_WEIGHT : 1;
+            for (UpstreamSpec.Holding holding : engine.holdings()) {
+                if (engine.usable() && holding.modelVersion().equals(model)) {
+                    ranges.addAll(Collections.nCopies(weight, holding.layers()));
+                }
+            }
+        }
+        return ranges;
     }
 
     /** Finds the node that a holding stands for. */
@@ -82,6 +89,16 @@
         return mLocal.get(model).computeIfAbsent(domain, d -> new LayerFlow(mTrees.get(model)));
     }
 
+    /** Tells whether a domain ranked above another holds the same layers as well. */
+    boolean heldAbove(Placed placed, Identity domain) {
+        Identity model = mModels.get(placed.model()).model().id();
+        long rank = DomainRank.of(model, domain);
+        return mLocal.get(placed.model()).entrySet().stream()
+                .filter(local -> DomainRank.of(model, local.getKey()) > rank)
+                .filter(local -> !mCutOff.contains(local.getKey()))
+                .anyMatch(local -> local.getValue().covers(placed.node()));
+    }
+
     /** Returns the throughput of a model: whole chains within domains, or else over all of them. */
     double throughput(int model) {
         double local = mLocal.get(model).values().stream().mapToDouble(LayerFlow::total).sum();
--- a/core/src/main/java/org/amaranthpick/core/placement/NeedRanking.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/NeedRanking.java
@@ -84,16 +84,16 @@
         return new Need(model, THROUGHPUT, flow.total() / wanted);
     }
 
+    /** Tells whether no domain alone has room for a model. */
+    boolean spansDomains(int model) {
+        return mWants.spansDomains(model);
+    }
+
     /** Tells whether a domain may hold layers of a model. */
     boolean concerns(int model, Identity domain) {
         return mWants.mayHold(model, domain);
     }
 
-    /** Returns the throughput of a model over all domains, in tokens per second. */
-    double throughput(int model) {
-        return mDraft.throughput(model);
-    }
-
     private LayerFlow flow(int model, Identity domain) {
         return mWants.isHome(model, domain) ? mDraft.local(model, domain) : mDraft.pooled(model);
     }
--- a/core/src/test/java/org/amaranthpick/core/request/FakeUpstreams.java
+++ b/core/src/test/java/org/amaranthpick/core/request/FakeUpstreams.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -34,10 +36,15 @@
     private final Scheduler mScheduler;
     private final List<GenerateCall> mCalls = new ArrayList<>();
     private final List<String> mRuns = new ArrayList<>();
+    private final Map<String, List<String>> mPromptRuns = new HashMap<>();
     private final List<Stream> mStreams = new ArrayList<>();
+
+    /** Broken on purpose: tells an attempt that was sent and lost as never sent. */
+    boolean mDeniesSending;
+
     private Function<GenerateCall, Script> mScripts = call -> Script.NONE;
     private Function<ServiceCall, ServiceReply> mService =
-            call -> new ServiceReply.Answered(200, java.util.Map.of(), new byte[] {'o', 'k'});
+            call -> new ServiceReply.Answered(200, Map.of(), new byte[] {'o', 'k'});
 
     /** Where a fault strikes. */
     enum Step {
@@ -94,6 +101,11 @@
         return mRuns.stream().filter(requestId::equals).count();
     }
 
+    /** Lists the requests with a prompt that ran, once per attempt. */
+    List<String> runsOfPrompt(String prompt) {
+        return mPromptRuns.getOrDefault(prompt, List.of());
+    }
+
     static String text(String requestId, int index) {
         return requestId + ":" + index + " ";
     }
@@ -176,12 +188,17 @@
                 mListener.onEnd(new StreamEnd.NotSent(lastStage(), "connection refused"));
                 return;
             }
-            mListener.onSending();
+            if (!mDeniesSending) {
+                mListener.onSending();
+            }
             if (mScript.fault() == Fault.REFUSED) {
                 mListener.onEnd(new StreamEnd.Refused(lastStage(), "full", Optional.empty()));
                 return;
             }
             mRuns.add(mCall.requestId());
+            mPromptRuns
+                    .computeIfAbsent(mCall.prompt(), p -> new ArrayList<>())
+                    .add(mCall.requestId());
             if (fails(Step.AFTER_SEND) || fails(Step.BEFORE_SEND)) {
                 return;
             }
@@ -205,7 +222,10 @@
                 return false;
             }
             if (mScript.fault() == Fault.STAGE_DEATH) {
-                mListener.onEnd(new StreamEnd.StageLost(lastStage(), "connection reset"));
+                mListener.onEnd(
+                        mDeniesSending
+                                ? new StreamEnd.NotSent(lastStage(), "denied")
+                                : new StreamEnd.StageLost(lastStage(), "connection reset"));
                 return true;
             }
             if (mScript.fault() == Fault.TRUNCATED) {
