Seal settled claims in segments and bound kept answers

Change: settled entries leave the head for segments that never change; the oldest answers are dropped from a size on; idle daemons forget their copies; past segments, orphans among them, are deleted. Conclusion: a commit writes the head only, 64 KB at most by default.

--- a/core/src/main/java/org/amaranthpick/core/claim/ClaimBatch.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ClaimBatch.java
@@ -8,13 +8,8 @@
  * @param next journal after them
  * @param batch the operations
  * @param replies their replies, in the same order
- * @param dropped segments that the head no longer names
  */
-record ClaimBatch(
-        ClaimJournal next,
-        List<PendingOperation> batch,
-        List<ShardReply> replies,
-        List<String> dropped) {
+record ClaimBatch(ClaimJournal next, List<PendingOperation> batch, List<ShardReply> replies) {
 
     /** Gives the replies. */
     void reply() {
--- a/core/src/main/java/org/amaranthpick/core/claim/ClaimEntry.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ClaimEntry.java
@@ -32,4 +32,13 @@
     ClaimEntry settled(ClaimState newState, Optional<ClaimAnswer> newAnswer) {
         return new ClaimEntry(key, newState, requestHash, bodyHash, claimedAtMs, "", newAnswer);
     }
+
+    /**
+     * Returns this entry without its answer.
+     *
+     * @return changed copy; a repeat is then told that the outcome is unknown
+     */
+    ClaimEntry withoutAnswer() {
+        return settled(state, Optional.empty());
+    }
 }
--- a/core/src/main/java/org/amaranthpick/core/claim/ClaimJournal.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ClaimJournal.java
@@ -2,11 +2,9 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.msgpack.core.MessageBufferPacker;
@@ -134,12 +132,17 @@
     }
 
     /**
-     * Counts the entries.
+     * Counts the entries remembered.
      *
-     * @return entries of head and segments
+     * @param nowMs wall-clock time, milliseconds
+     * @return entries of the head and of the segments that are not past their expiry
      */
-    int size() {
-        return mHead.size() + mSegments.values().stream().mapToInt(SealedSegment::size).sum();
+    int size(long nowMs) {
+        return mHead.size()
+                + mSegments.values().stream()
+                        .filter(segment -> !isPast(segment, nowMs))
+                        .mapToInt(SealedSegment::size)
+                        .sum();
     }
 
     /**
@@ -227,7 +230,7 @@
     }
 
     private Decision grant(ClaimOperation.Ask ask, long nowMs) {
-        if (size() >= mSettings.maxShardEntries()) {
+        if (size(nowMs) >= mSettings.maxShardEntries()) {
             return Decision.unchanged(
                     ShardReply.notStored("the shard remembers its most keys; wait for expiry"));
         }
@@ -278,20 +281,11 @@
      * Forgets what is past its time.
      *
      * @param nowMs wall-clock time, milliseconds
-     * @return names of the segments that are no longer named by the head
      */
-    List<String> forget(long nowMs) {
+    void forget(long nowMs) {
         mHead.values().removeIf(entry -> isExpired(entry.claimedAtMs(), nowMs));
         mReleasedAtMs.values().removeIf(atMs -> nowMs - atMs > RELEASED_MEMORY_MS);
-        List<String> dropped = new ArrayList<>();
-        mSegments.forEach(
-                (name, segment) -> {
-                    if (isPast(segment, nowMs)) {
-                        dropped.add(name);
-                    }
-                });
-        dropped.forEach(mSegments::remove);
-        return dropped;
+        mSegments.values().removeIf(segment -> isPast(segment, nowMs));
     }
 
     /**
@@ -340,14 +334,38 @@
     }
 
     /**
-     * Moves entries from the head to a stored segment.
+     * Counts the kept answers of the segments.
+     *
+     * @return characters of all answers
+     */
+    int answerBytes() {
+        return mSegments.values().stream().mapToInt(SealedSegment::answerBytes).sum();
+    }
+
+    /**
+     * Finds the segment whose answers have been kept longest.
+     *
+     * @return its name, empty if no segment has answers
+     */
+    Optional<String> oldestSegmentWithAnswers() {
+        return mSegments.entrySet().stream()
+                .filter(entry -> entry.getValue().answerBytes() > 0)
+                .min(Comparator.comparingLong(entry -> entry.getValue().newestMs()))
+                .map(Map.Entry::getKey);
+    }
+
+    /**
+     * Takes a stored segment in.
      *
      * @param name name of the segment
      * @param segment the segment
-     * @param keys keys of its entries
+     * @param keys keys of entries that leave the head
+     * @param replaced segment that it replaces
      */
-    void seal(String name, SealedSegment segment, Iterable<KeyHash> keys) {
+    void seal(
+            String name, SealedSegment segment, Iterable<KeyHash> keys, Optional<String> replaced) {
         keys.forEach(mHead::remove);
+        replaced.ifPresent(mSegments::remove);
         mSegments.put(name, segment);
     }
 
--- a/core/src/main/java/org/amaranthpick/core/claim/ClaimSettings.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ClaimSettings.java
@@ -12,6 +12,7 @@
  * @param skewMargin time beyond the expiry for which a key is still refused
  * @param maxHeadBytes size of a shard's head object from which settled entries are sealed
  * @param maxShardEntries entries of a shard from which new claims are refused
+ * @param maxShardAnswerBytes size of a shard's kept answers from which the oldest are dropped
  * @param askTimeout time in which a claim is granted or refused
  * @param peerTimeout time to wait for another daemon before asking again
  * @param settleTimeout time for which an outcome is tried to be recorded
@@ -27,6 +28,7 @@
         Duration skewMargin,
         int maxHeadBytes,
         int maxShardEntries,
+        int maxShardAnswerBytes,
         Duration askTimeout,
         Duration peerTimeout,
         Duration settleTimeout,
@@ -47,7 +49,8 @@
                 Duration.ofHours(24),
                 Duration.ofMinutes(5),
                 64_000,
-                100_000,
+                200_000,
+                2_000_000,
                 Duration.ofSeconds(3),
                 Duration.ofMillis(1200),
                 Duration.ofMinutes(1),
--- a/core/src/main/java/org/amaranthpick/core/claim/ClaimShard.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ClaimShard.java
@@ -1,10 +1,7 @@
 package org.amaranthpick.core.claim;
 
-import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,40 +9,29 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
-import org.amaranthpick.core.store.ListResult;
-import org.amaranthpick.core.store.ObjectStore;
-import org.amaranthpick.core.store.ReadResult;
-import org.amaranthpick.core.store.StoredObject;
-import org.amaranthpick.core.store.WriteCondition;
 import org.amaranthpick.core.store.WriteResult;
-import org.amaranthpick.core.store.WriterTokens;
 import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.core.time.Scheduler;
 import org.amaranthpick.core.time.SerialQueue;
 
 /**
- * One shard's journal as this daemon writes it. Any daemon may write it: every write is a
+ * Operations on one shard, written in groups. Any daemon may write a shard: every write is a
  * compare-and-set of the head object, and a reply is given only once what it says is stored.
  */
 final class ClaimShard {
-    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-    private static final String PREFIX = "claim:";
     private static final Duration MIN_BACKOFF = Duration.ofMillis(50);
     private static final Duration MAX_BACKOFF = Duration.ofSeconds(2);
+    private static final Duration IDLE_TIME = Duration.ofMinutes(10);
 
-    private final String mPath;
     private final ClaimSettings mSettings;
-    private final ObjectStore mStore;
-    private final WriterTokens mTokens;
+    private final JournalFile mFile;
     private final Scheduler mScheduler;
     private final ClaimCounters mCounters;
     private final SerialQueue mQueue;
     private List<PendingOperation> mPending = new ArrayList<>();
-    private final Map<String, SealedSegment> mSegments = new HashMap<>();
     private Optional<ClaimJournal> mJournal = Optional.empty();
-    private WriteCondition mHeadCondition = new WriteCondition.Absent();
     private Cancellable mTimer = () -> {};
+    private Cancellable mIdleTimer = () -> {};
     private Duration mBackoff = MIN_BACKOFF;
     private boolean mBusy;
     private long mCallStartedNs;
@@ -53,27 +39,20 @@
     private long mNextCommitNs;
 
     ClaimShard(
-            String path,
-            ClaimSettings settings,
-            ObjectStore store,
-            WriterTokens tokens,
-            Scheduler scheduler,
-            ClaimCounters counters) {
-        mPath = path;
+            ClaimSettings settings, JournalFile file, Scheduler scheduler, ClaimCounters counters) {
         mSettings = settings;
-        mStore = store;
-        mTokens = tokens;
+        mFile = file;
         mScheduler = scheduler;
         mCounters = counters;
         mNextCommitNs = scheduler.monotonicNs();
-        mQueue = new SerialQueue(e -> restart());
+        mQueue = new SerialQueue(e -> onEventFailure());
     }
 
     /**
      * Performs an operation.
      *
      * @param operation operation
-     * @param validFor time after which it is answered as unavailable
+     * @param validFor time after which it is given up
      * @return completes with the reply, once what it says is stored
      */
     CompletableFuture<ShardReply> submit(ClaimOperation operation, Duration validFor) {
@@ -95,8 +74,12 @@
     /** Does the next step that is due; every event ends here. */
     private void pump() {
         long nowNs = mScheduler.monotonicNs();
-        dropExpired(nowNs);
-        if (mBusy || mPending.isEmpty()) {
+        giveUpExpired(nowNs);
+        if (mBusy) {
+            return;
+        }
+        if (mPending.isEmpty()) {
+            awaitIdle();
             return;
         }
         if (mJournal.isEmpty()) {
@@ -110,9 +93,9 @@
         long dueNs = Math.max(mNextCommitNs, earliestCommitByNs());
         if (dueNs > nowNs) {
             wakeIn(Duration.ofNanos(dueNs - nowNs));
-            return;
+        } else {
+            commit(mJournal.get());
         }
-        commit(mJournal.get());
     }
 
     private long earliestCommitByNs() {
@@ -124,7 +107,19 @@
         mTimer = mScheduler.schedule(delay, () -> mQueue.post(this::pump));
     }
 
-    private void dropExpired(long nowNs) {
+    private void awaitIdle() {
+        mIdleTimer.cancel();
+        mIdleTimer = mScheduler.schedule(IDLE_TIME, () -> mQueue.post(this::forgetIfIdle));
+    }
+
+    private void forgetIfIdle() {
+        if (!mBusy && mPending.isEmpty()) {
+            mJournal = Optional.empty();
+            mFile.forgetCopies();
+        }
+    }
+
+    private void giveUpExpired(long nowNs) {
         List<PendingOperation> kept = new ArrayList<>(mPending.size());
         List<PendingOperation> expired = new ArrayList<>(0);
         for (PendingOperation pending : mPending) {
@@ -172,69 +167,32 @@
     private void load() {
         mBusy = true;
         mCallStartedNs = mScheduler.monotonicNs();
-        mCounters.onRead();
-        var unused =
-                mStore.read(headPath())
-                        .whenComplete((result, error) -> mQueue.post(() -> onHead(result)));
-    }
-
-    private void onHead(ReadResult result) {
-        if (result instanceof ReadResult.Missing) {
-            loaded(ClaimJournal.empty(mSettings), new WriteCondition.Absent());
-        } else if (result instanceof ReadResult.Found found) {
-            if (!decode(found.object())) {
-                list();
-            }
-        } else {
-            failed();
-        }
-    }
-
-    private void list() {
-        mCounters.onRead();
         var unused =
-                mStore.list(mPath)
-                        .whenComplete((result, error) -> mQueue.post(() -> onListed(result)));
+                mFile.load(nowMs())
+                        .whenComplete(
+                                (journal, error) ->
+                                        mQueue.post(
+                                                () ->
+                                                        onLoaded(
+                                                                error == null
+                                                                        ? journal
+                                                                        : Optional.empty())));
     }
 
-    private void onListed(ListResult result) {
-        if (!(result instanceof ListResult.Listed listed)) {
-            failed();
+    private void onLoaded(Optional<ClaimJournal> journal) {
+        if (journal.isEmpty()) {
+            onFailure();
             return;
         }
-        Optional<StoredObject> head = Optional.empty();
-        for (StoredObject object : listed.objects()) {
-            if (object.key().equals(headPath())) {
-                head = Optional.of(object);
-            } else {
-                String name = object.key().substring(mPath.length());
-                mSegments.computeIfAbsent(name, n -> new SealedSegment(object.value()));
-            }
-        }
-        if (head.isEmpty() || !decode(head.get())) {
-            sLogger.atSevere().log("%s journal %s lacks a segment; restore it", PREFIX, mPath);
-            failed();
-        }
-    }
-
-    private boolean decode(StoredObject head) {
-        Optional<ClaimJournal> journal = ClaimJournal.decode(mSettings, head.value(), mSegments);
-        journal.ifPresent(j -> loaded(j, new WriteCondition.AtVersion(head.version())));
-        return journal.isPresent();
-    }
-
-    private void loaded(ClaimJournal journal, WriteCondition condition) {
         mBusy = false;
-        mJournal = Optional.of(journal);
-        mSegments.keySet().retainAll(journal.segments().keySet());
-        mHeadCondition = condition;
+        mJournal = journal;
         mSyncedNs = mCallStartedNs;
         mBackoff = MIN_BACKOFF;
         pump();
     }
 
     /** The store gave nothing; reads the journal again later. */
-    private void failed() {
+    private void onFailure() {
         mBusy = false;
         mJournal = Optional.empty();
         wakeIn(mBackoff);
@@ -247,87 +205,44 @@
         mCallStartedNs = mScheduler.monotonicNs();
         mNextCommitNs = mCallStartedNs + mSettings.commitInterval().toNanos();
         ClaimJournal next = stored.copy();
-        List<String> dropped = next.forget(nowMs());
+        next.forget(nowMs());
         List<PendingOperation> batch = mPending;
         mPending = new ArrayList<>();
         List<ShardReply> replies = new ArrayList<>(batch.size());
         for (PendingOperation pending : batch) {
             replies.add(next.apply(pending.operation(), nowMs()));
         }
-        ClaimBatch work = new ClaimBatch(next, batch, replies, dropped);
-        byte[] head = next.encodeHead();
-        if (head.length > mSettings.maxHeadBytes()) {
-            seal(work, head);
-        } else {
-            writeHead(work, head);
-        }
-    }
-
-    private void seal(ClaimBatch work, byte[] head) {
-        Map<KeyHash, ClaimEntry> sealable = work.next().sealable(nowMs());
-        byte[] bytes = SealedSegment.encode(sealable.values());
-        if (bytes.length < head.length / 2) {
-            writeHead(work, head);
-            return;
-        }
-        String name = "segment-" + mTokens.next();
-        mCounters.onWrite(bytes.length);
+        ClaimBatch work = new ClaimBatch(next, batch, replies);
         var unused =
-                mStore.write(mPath + name, new WriteCondition.Absent(), bytes, mTokens.next())
+                mFile.store(next, nowMs())
                         .whenComplete(
                                 (result, error) ->
                                         mQueue.post(
                                                 () ->
-                                                        onSealed(
+                                                        onStored(
                                                                 work,
-                                                                name,
-                                                                bytes,
-                                                                sealable.keySet(),
-                                                                result)));
+                                                                error == null
+                                                                        ? result
+                                                                        : unknown(error))));
     }
 
-    private void onSealed(
-            ClaimBatch work,
-            String name,
-            byte[] bytes,
-            Collection<KeyHash> keys,
-            WriteResult result) {
-        if (result instanceof WriteResult.Applied) {
-            SealedSegment segment = new SealedSegment(bytes);
-            mSegments.put(name, segment);
-            work.next().seal(name, segment, keys);
-        }
-        writeHead(work, work.next().encodeHead());
+    private static WriteResult unknown(Throwable error) {
+        return new WriteResult.Unknown(error.toString());
     }
 
-    private void writeHead(ClaimBatch work, byte[] head) {
-        if (head.length > ObjectStore.MAX_VALUE_BYTES) {
+    private void onStored(ClaimBatch work, WriteResult result) {
+        if (result instanceof WriteResult.Applied) {
             mBusy = false;
-            work.batch().forEach(pending -> pending.giveUp("the shard's journal is full"));
-            pump();
-            return;
-        }
-        mCounters.onWrite(head.length);
-        var unused =
-                mStore.write(headPath(), mHeadCondition, head, mTokens.next())
-                        .whenComplete(
-                                (result, error) -> mQueue.post(() -> onWritten(work, result)));
-    }
-
-    private void onWritten(ClaimBatch work, WriteResult result) {
-        mBusy = false;
-        if (result instanceof WriteResult.Applied applied) {
             mJournal = Optional.of(work.next());
-            mHeadCondition = new WriteCondition.AtVersion(applied.version());
             mSyncedNs = mCallStartedNs;
             work.reply();
-            work.dropped().forEach(this::deleteSegment);
             pump();
             return;
         }
         putBack(work.batch());
         if (result instanceof WriteResult.Conflict) {
             mCounters.onConflict();
+            mBusy = false;
             mJournal = Optional.empty();
             mNextCommitNs = mScheduler.monotonicNs();
             pump();
@@ -337,7 +252,7 @@
             mCounters.onUnknown();
             work.batch().forEach(PendingOperation::onUnknownWrite);
         }
-        failed();
+        onFailure();
     }
 
     private void putBack(List<PendingOperation> batch) {
@@ -346,25 +261,8 @@
         mPending = all;
     }
 
-    private void deleteSegment(String name) {
-        mSegments.remove(name);
-        mCounters.onWrite(0);
-        var unused = mStore.read(mPath + name).thenCompose(this::deleteFound);
-    }
-
-    private CompletionStage<WriteResult> deleteFound(ReadResult result) {
-        if (result instanceof ReadResult.Found found) {
-            return mStore.delete(found.object().key(), found.object().version());
-        }
-        return CompletableFuture.completedFuture(new WriteResult.Conflict());
-    }
-
-    private void restart() {
-        mQueue.post(this::failed);
-    }
-
-    private String headPath() {
-        return mPath + "head";
+    private void onEventFailure() {
+        mQueue.post(this::onFailure);
     }
 
     private long nowMs() {
--- a/core/src/main/java/org/amaranthpick/core/claim/SealedSegment.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/SealedSegment.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
@@ -23,6 +24,7 @@
     private final long[] mHighs;
     private final int[] mOffsets;
     private final long mNewestMs;
+    private final int mAnswerBytes;
 
     /**
      * Reads a segment.
@@ -37,13 +39,16 @@
             mHighs = new long[count];
             mOffsets = new int[count];
             long newestMs = 0;
+            int answerBytes = 0;
             for (int i = 0; i < count; i++) {
                 mOffsets[i] = (int) unpacker.getTotalReadBytes();
                 ClaimEntry entry = ClaimEntryCodec.unpack(unpacker);
                 mHighs[i] = entry.key().high();
                 newestMs = Math.max(newestMs, entry.claimedAtMs());
+                answerBytes += entry.answer().map(a -> a.body().length()).orElse(0);
             }
             mNewestMs = newestMs;
+            mAnswerBytes = answerBytes;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -105,6 +110,28 @@
         return mNewestMs;
     }
 
+    /**
+     * Counts the kept answers.
+     *
+     * @return characters of all answers
+     */
+    int answerBytes() {
+        return mAnswerBytes;
+    }
+
+    /**
+     * Returns all entries.
+     *
+     * @return entries sorted by key
+     */
+    List<ClaimEntry> entries() {
+        List<ClaimEntry> entries = new ArrayList<>(mOffsets.length);
+        for (int i = 0; i < mOffsets.length; i++) {
+            entries.add(entryAt(i));
+        }
+        return entries;
+    }
+
     private int firstAtLeast(long high) {
         int from = 0;
         int to = mHighs.length;
--- a/core/src/main/java/org/amaranthpick/core/claim/ShardStore.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ShardStore.java
@@ -64,6 +64,7 @@
     }
 
     private ClaimShard open(int shard) {
-        return new ClaimShard(path(shard), mSettings, mStore, mTokens, mScheduler, mCounters);
+        JournalFile file = new JournalFile(path(shard), mSettings, mStore, mTokens, mCounters);
+        return new ClaimShard(mSettings, file, mScheduler, mCounters);
     }
 }
--- a/core/src/test/java/org/amaranthpick/core/request/AtMostOnceTest.java
+++ b/core/src/test/java/org/amaranthpick/core/request/AtMostOnceTest.java
@@ -133,6 +133,7 @@
                     d.skewMargin(),
                     150,
                     d.maxShardEntries(),
+                    60,
                     d.askTimeout(),
                     d.peerTimeout(),
                     d.settleTimeout(),
