Show differences, wait for the spread, share limits over daemons

Cause: apply returned with no word on where the configuration is in force; limits were counted per daemon.

--- a/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import org.amaranthpick.core.board.Controller;
 import org.amaranthpick.core.claim.ClaimSettings;
-import org.amaranthpick.core.claim.Claims;
 import org.amaranthpick.core.claim.JournalClaims;
 import org.amaranthpick.core.config.ConfigurationInForce;
 import org.amaranthpick.core.config.ConfigurationService;
@@ -37,7 +36,7 @@
     private final ConfigurationInForce mInForce;
     private final ConfigurationService mConfiguration;
     private final Membership mMembers;
-    private final Claims mClaims;
+    private final JournalClaims mClaims;
     private final PlacementService mPlacement;
     private final ControlLoop mLoop;
     private final PrefixIndex mPrefixes;
@@ -108,6 +107,10 @@
         return mConfiguration;
     }
 
+    PeerNetwork network() {
+        return mPeers.transport();
+    }
+
     PeerCounters peerCounters() {
         return mPeers.transport().counters();
     }
@@ -116,6 +119,11 @@
         return mMembers;
     }
 
+    /** Counts the control shards that this daemon owns. */
+    int leases() {
+        return mPlacement.leases().size();
+    }
+
     /** Runs one more control job. */
     void run(Controller controller) {
         mLoop.add(controller);
@@ -133,7 +141,7 @@
         return mSlowStart;
     }
 
-    Claims claims() {
+    JournalClaims claims() {
         return mClaims;
     }
 
--- a/server/src/main/java/org/amaranthpick/server/daemon/DaemonActions.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/DaemonActions.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 import org.amaranthpick.core.config.Configuration;
+import org.amaranthpick.core.config.InForceStatus;
 import org.amaranthpick.core.explain.DecisionTrail;
 import org.amaranthpick.core.member.Member;
 import org.amaranthpick.core.observe.UpstreamObservation;
@@ -58,6 +60,11 @@
         return mBase.decisions().entries(subject);
     }
 
+    @Override
+    public CompletionStage<InForceStatus> inForce(long generation) {
+        return mControl.configurationService().inForce(generation);
+    }
+
     @Override
     public void drain() {
         mDaemon.drain();
--- a/server/src/main/java/org/amaranthpick/server/daemon/PeerAccess.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/PeerAccess.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import org.amaranthpick.core.admit.ShareCodecs;
 import org.amaranthpick.core.claim.ClaimCodecs;
 import org.amaranthpick.core.config.ConfigCodecs;
 import org.amaranthpick.core.member.MemberCodecs;
@@ -77,6 +78,7 @@
         codecs.addAll(MemberCodecs.all());
         codecs.addAll(ConfigCodecs.all());
         codecs.addAll(ObserveCodecs.all());
+        codecs.addAll(ShareCodecs.all());
         codecs.addAll(ClaimCodecs.all());
         codecs.addAll(PlacementCodecs.all());
         return codecs;
--- a/server/src/main/java/org/amaranthpick/server/daemon/RequestPath.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/RequestPath.java
@@ -5,7 +5,7 @@
 import org.amaranthpick.core.admit.DelayWindowGate;
 import org.amaranthpick.core.admit.FairAdmission;
 import org.amaranthpick.core.admit.GatedFeedback;
-import org.amaranthpick.core.admit.LocalLimits;
+import org.amaranthpick.core.admit.SharedLimits;
 import org.amaranthpick.core.request.EstimatingPromptAnalyzer;
 import org.amaranthpick.core.request.RequestRouter;
 import org.amaranthpick.core.request.RequestSettings;
@@ -36,12 +36,18 @@
         routing.controllers().forEach(control::run);
         DelayWindowGate gate =
                 new DelayWindowGate(DelayWindowGate.Settings.DEFAULT, base.scheduler());
+        SharedLimits limits =
+                new SharedLimits(
+                        new SharedLimits.Context(
+                                control.configuration(),
+                                control.members(),
+                                control.network(),
+                                base.scheduler(),
+                                base.decisions(),
+                                base.invariants()));
+        control.run(limits);
         Admission admission =
-                new FairAdmission(
-                        AdmissionSettings.DEFAULT,
-                        new LocalLimits(base.scheduler()),
-                        gate,
-                        base.scheduler());
+                new FairAdmission(AdmissionSettings.DEFAULT, limits, gate, base.scheduler());
         RouterParts parts =
                 new RouterParts(
                         routing.chooser(),
--- a/server/src/main/java/org/amaranthpick/server/operator/OperatorActions.java
+++ b/server/src/main/java/org/amaranthpick/server/operator/OperatorActions.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.amaranthpick.core.config.InForceStatus;
 import org.amaranthpick.core.explain.DecisionTrail;
 
 /** What operators can ask of a daemon. */
@@ -35,6 +37,14 @@
      */
     List<DecisionTrail.Entry> explain(String subject);
 
+    /**
+     * Asks every failure domain where a generation is in force.
+     *
+     * @param generation the generation
+     * @return answer; completes normally
+     */
+    CompletionStage<InForceStatus> inForce(long generation);
+
     /** Starts a graceful shutdown and returns at once. */
     void drain();
 }
--- a/server/src/main/java/org/amaranthpick/server/operator/OperatorListener.java
+++ b/server/src/main/java/org/amaranthpick/server/operator/OperatorListener.java
@@ -17,6 +17,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.regex.Pattern;
+import org.amaranthpick.core.config.InForceStatus;
 import org.amaranthpick.core.explain.DecisionTrail;
 import org.xnio.XnioWorker;
 
@@ -24,6 +26,7 @@
 public final class OperatorListener implements AutoCloseable {
     private static final Duration HEADER_TIMEOUT = Duration.ofSeconds(10);
     private static final int MAX_HEADER_BYTES = 16_384;
+    private static final Pattern GENERATION = Pattern.compile("[0-9]{1,18}");
     private static final String BEARER = "Bearer ";
     private static final String TEXT = "text/plain; charset=utf-8";
     private static final String JSON = "application/json";
@@ -81,6 +84,7 @@
         paths.addExactPath("/metrics", guarded(x -> send(x, 200, TEXT, mActions.metrics())));
         paths.addExactPath("/status", guarded(this::status));
         paths.addPrefixPath("/explain", guarded(this::explain));
+        paths.addPrefixPath("/in-force", guarded(this::inForce));
         paths.addExactPath("/drain", guarded(this::drain));
         return paths;
     }
@@ -128,6 +132,35 @@
         send(exchange, entries.isEmpty() ? 404 : 200, JSON, list.toString());
     }
 
+    private void inForce(HttpServerExchange exchange) {
+        String text = exchange.getRelativePath().replaceFirst("^/", "");
+        if (!GENERATION.matcher(text).matches()) {
+            send(exchange, 400, TEXT, "ask for /in-force/GENERATION\n");
+            return;
+        }
+        long generation = Long.parseLong(text);
+        exchange.dispatch(
+                exchange.getIoThread(),
+                () ->
+                        mActions.inForce(generation)
+                                .thenAccept(
+                                        status ->
+                                                exchange.getIoThread()
+                                                        .execute(() -> send(exchange, status))));
+    }
+
+    private void send(HttpServerExchange exchange, InForceStatus status) {
+        ObjectNode node = mMapper.createObjectNode();
+        node.put("generation", status.generation());
+        node.put("live", status.live());
+        node.put("everywhere", status.everywhere());
+        ArrayNode laggards = node.putArray("laggards");
+        status.laggards().forEach(host -> laggards.add(host.qualifiedName()));
+        ArrayNode unanswered = node.putArray("unanswered");
+        status.unanswered().forEach(domain -> unanswered.add(domain.qualifiedName()));
+        send(exchange, 200, JSON, node.toString());
+    }
+
     private void drain(HttpServerExchange exchange) {
         if (!exchange.getRequestMethod().equals(Methods.POST)) {
             send(exchange, 405, TEXT, "send a POST request\n");
--- a/tools/src/main/java/org/amaranthpick/tools/ApplyCommand.java
+++ b/tools/src/main/java/org/amaranthpick/tools/ApplyCommand.java
@@ -5,6 +5,7 @@
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.io.PrintStream;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.amaranthpick.core.config.PublishResult;
@@ -24,6 +25,13 @@
             description = "Refuse if another generation is in place; 0 expects none.")
     private Long mExpectGeneration;
 
+    @AirlineModule private OperatorOptions mDaemon = new OperatorOptions();
+
+    @Option(
+            name = "--wait",
+            description = "Seconds to wait until it is in force on every live daemon; 0 for none.")
+    private int mWaitSeconds;
+
     @Arguments(title = "FILE", description = "Manifest, JSON or YAML")
     @Required
     private String mFile;
@@ -45,7 +53,12 @@
                             .publish(manifest.get(), expected)
                             .toCompletableFuture()
                             .join();
-            return PublishReport.print(result, out, err);
+            int code = PublishReport.print(result, out, err);
+            if (code != ExitCode.OK || mWaitSeconds == 0) {
+                return code;
+            }
+            return new InForceWait(mDaemon, Duration.ofSeconds(mWaitSeconds))
+                    .until(PublishReport.generation(result), out, err);
         }
     }
 }
--- a/tools/src/main/java/org/amaranthpick/tools/Main.java
+++ b/tools/src/main/java/org/amaranthpick/tools/Main.java
@@ -17,6 +17,7 @@
             HelpCommand.class,
             ServeCommand.class,
             ValidateCommand.class,
+            DiffCommand.class,
             ApplyCommand.class,
             StatusCommand.class,
             ExplainCommand.class,
--- a/tools/src/main/java/org/amaranthpick/tools/PublishReport.java
+++ b/tools/src/main/java/org/amaranthpick/tools/PublishReport.java
@@ -38,4 +38,11 @@
                 ? ExitCode.REFUSED
                 : ExitCode.UNREACHABLE;
     }
+
+    /** Returns the generation that an accepted or unchanged publication has. */
+    static long generation(PublishResult result) {
+        return result instanceof PublishResult.Unchanged unchanged
+                ? unchanged.generation()
+                : ((PublishResult.Accepted) result).generation();
+    }
 }
