Pull a lost digest until it is repaired

Cause: with 30% of messages lost one pull could be lost too, and a far daemon kept an old load until the next whole digest. Change: a source with a gap stays incomplete, and is pulled from at each of its digests, until a whole digest came.

--- a/core/src/main/java/org/amaranthpick/core/observe/DigestReceiver.java
+++ b/core/src/main/java/org/amaranthpick/core/observe/DigestReceiver.java
@@ -21,6 +21,8 @@
 
 /** Takes digests of other observers, forwards those it relays, and writes the upstream section. */
 final class DigestReceiver {
+    private static final String FAR_PREFIX = "far/";
+
     private final Blackboard mBoard;
     private final ConfigurationView mConfiguration;
     private final MemberView mMembers;
@@ -40,18 +42,25 @@
         private final Set<Identity> mUpstreams = new HashSet<>();
         private long mSequence;
 
-        /** Notes the number of a digest; returns false if one before it was lost. */
-        boolean accepts(ObserveMessage.Digest digest) {
+        private boolean mComplete;
+
+        synchronized void repaired() {
+            mComplete = true;
+        }
+
+        /** Notes the number of a digest; a gap leaves the source incomplete until repaired. */
+        void accept(ObserveMessage.Digest digest) {
             if (digest.route() == ObserveMessage.Route.REPAIR) {
-                return true;
+                mComplete = true;
+                return;
             }
             boolean next = digest.sequence() == mSequence + 1;
             boolean repeat = digest.sequence() == mSequence;
             if (!next && !repeat) {
                 mUpstreams.clear();
+                mComplete = false;
             }
             mSequence = digest.sequence();
-            return next || repeat;
         }
     }
 
@@ -110,14 +119,14 @@
         boolean near =
                 digest.route() == ObserveMessage.Route.DIRECT
                         || digest.route() == ObserveMessage.Route.REPAIR;
-        Source source =
-                mSources.computeIfAbsent(near ? origin : "far/" + origin, key -> new Source());
+        Source source = sourceOf(origin, near);
         List<Integer> unknown = new ArrayList<>();
-        boolean next;
+        boolean complete;
         synchronized (source) {
             long nowMs = mScheduler.instant().toEpochMilli();
             long sentMs = source.mOffset.localTime(digest.sentAtMs(), nowMs);
-            next = source.accepts(digest);
+            source.accept(digest);
+            complete = source.mComplete;
             Set<Identity> told = new HashSet<>();
             for (LoadEntry entry : digest.entries()) {
                 Optional<Identity> upstream = codes.upstream(entry.code());
@@ -134,11 +143,18 @@
         if (!unknown.isEmpty()) {
             mPeers.send(from, new ObserveMessage.FactsPull(codes.salt(), unknown));
         }
-        if (!next) {
+        if (digest.route() == ObserveMessage.Route.REPAIR) {
+            sourceOf(origin, false).repaired();
+        } else if (!complete) {
             pullAll(origin, codes);
         }
     }
 
+    private Source sourceOf(String origin, boolean near) {
+        String key = near ? origin : FAR_PREFIX + origin;
+        return mSources.computeIfAbsent(key, unused -> new Source());
+    }
+
     /** Asks an observer for all that it observes, after a digest of it was lost. */
     private void pullAll(String origin, UpstreamCodes codes) {
         for (Member member : mMembers.members()) {
