--- a/server/src/main/java/org/amaranthpick/server/http/HostPool.java
+++ b/server/src/main/java/org/amaranthpick/server/http/HostPool.java
@@ -14,7 +14,6 @@
 import java.util.Iterator;
 import java.util.concurrent.RejectedExecutionException;
 import org.amaranthpick.core.time.Scheduler;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.XnioIoThread;
@@ -122,7 +121,7 @@
             connect(taker);
         } else if (!mIdle.isEmpty()) {
             mWaiting.addFirst(taker);
-            IoUtils.safeClose(mIdle.pollFirst().connection());
+            Connections.closeNow(mIdle.pollFirst().connection());
         } else if (mWaiting.size() < mSettings.maxWaiting()) {
             mWaiting.addLast(taker);
         } else {
@@ -138,7 +137,7 @@
     /** Takes back a connection whose call was read to its end. */
     void release(ClientConnection connection) {
         if (mClosed || !connection.isOpen()) {
-            IoUtils.safeClose(connection);
+            Connections.closeNow(connection);
             return;
         }
         Taker next = mWaiting.pollFirst();
@@ -154,7 +153,7 @@
     /** Closes every idle connection: one of the same age was found silent. */
     void dropIdle() {
         while (!mIdle.isEmpty()) {
-            IoUtils.safeClose(mIdle.pollFirst().connection());
+            Connections.closeNow(mIdle.pollFirst().connection());
         }
     }
 
@@ -172,7 +171,7 @@
             if (idle.connection().isOpen() && !isOld(idle)) {
                 return idle;
             }
-            IoUtils.safeClose(idle.connection());
+            Connections.closeNow(idle.connection());
         }
         return null;
     }
@@ -242,7 +241,7 @@
             Idle idle = it.next();
             if (isOld(idle)) {
                 it.remove();
-                IoUtils.safeClose(idle.connection());
+                Connections.closeNow(idle.connection());
             }
         }
         if (!mIdle.isEmpty()) {
--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -13,7 +13,6 @@
 import java.util.function.Consumer;
 import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.core.time.Scheduler;
-import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -219,7 +218,7 @@
         if (mRequestWritten) {
             mPool.release(connection);
         } else {
-            IoUtils.safeClose(connection);
+            Connections.closeNow(connection);
         }
         end(new CallEnd.Complete());
     }
@@ -255,8 +254,7 @@
     private void replaceConnection() {
         mReplaced = true;
         mPool.counters().countReplaced();
-        IoUtils.safeClose(mConnection);
-        mConnection = null;
+        closeConnection();
         mStepTimer.cancel();
         mStepTimer = after(mPool.connectTimeout(), this::onConnectTimeout);
         mPool.acquireFresh(mTaker);
@@ -272,10 +270,19 @@
         }
         boolean unsent = nothingWritten();
         mPool.forget(mTaker);
-        IoUtils.safeClose(mConnection);
+        closeConnection();
         end(unsent ? new CallEnd.NotSent(reason) : new CallEnd.Lost(reason));
     }
 
+    /** Lets go of the connection first: what its close tells is no news. */
+    private void closeConnection() {
+        ClientConnection connection = mConnection;
+        mConnection = null;
+        if (connection != null) {
+            Connections.closeNow(connection);
+        }
+    }
+
     private void end(CallEnd end) {
         if (mDone) {
             return;
--- a/server/src/main/java/org/amaranthpick/server/store/HttpObjectStore.java
+++ b/server/src/main/java/org/amaranthpick/server/store/HttpObjectStore.java
@@ -6,6 +6,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
@@ -101,7 +102,7 @@
                         mAddress,
                         "GET",
                         "/v1/watch?prefix=" + encoded(prefix) + "&after=" + afterRevision,
-                        Map.of(),
+                        withToken(Map.of()),
                         NO_BODY,
                         mSettings.watchSilence(),
                         Optional.empty());
@@ -129,11 +130,26 @@
         Duration timeout = mSettings.callTimeout();
         mConnector.send(
                 new OutgoingRequest(
-                        mAddress, method, path, headers, body, timeout, Optional.of(timeout)),
+                        mAddress,
+                        method,
+                        path,
+                        withToken(headers),
+                        body,
+                        timeout,
+                        Optional.of(timeout)),
                 collector);
         return collector.reply();
     }
 
+    private Map<String, String> withToken(Map<String, String> headers) {
+        if (mSettings.token().isEmpty()) {
+            return headers;
+        }
+        Map<String, String> all = new HashMap<>(headers);
+        all.put("Authorization", "Bearer " + mSettings.token().get());
+        return all;
+    }
+
     private static ReadResult readResult(String key, BodyCollector.Reply reply) {
         Optional<String> failure = failure(reply);
         if (failure.isPresent()) {
--- a/server/src/main/java/org/amaranthpick/server/upstream/HttpUpstreamClient.java
+++ b/server/src/main/java/org/amaranthpick/server/upstream/HttpUpstreamClient.java
@@ -122,8 +122,21 @@
 
     @Override
     public CompletionStage<OrderReply> order(UpstreamSpec upstream, UpstreamOrder order) {
-        return send(request(upstream.address(), "POST", "/v1/orders", RequestJson.order(order)))
-                .thenApply(HttpUpstreamClient::orderReply);
+        Map<String, String> headers = new HashMap<>(JSON_HEADERS);
+        if (upstream.checksOrderer()) {
+            mSettings.orderToken().ifPresent(t -> headers.put("Authorization", "Bearer " + t));
+        }
+        Duration timeout = mSettings.callTimeout();
+        OutgoingRequest request =
+                new OutgoingRequest(
+                        upstream.address(),
+                        "POST",
+                        "/v1/orders",
+                        headers,
+                        RequestJson.order(order),
+                        timeout,
+                        Optional.of(timeout));
+        return send(request).thenApply(HttpUpstreamClient::orderReply);
     }
 
     @Override
--- a/server/src/main/java/org/amaranthpick/server/upstream/UpstreamSettings.java
+++ b/server/src/main/java/org/amaranthpick/server/upstream/UpstreamSettings.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.server.upstream;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.amaranthpick.server.http.ConnectorSettings;
 
 /**
@@ -13,6 +14,7 @@
  * @param serviceTimeout longest time for a call of a plain service
  * @param maxLineBytes longest line of a stream
  * @param maxBodyBytes largest body of any other reply
+ * @param orderToken bearer token sent with orders to engines that check who gives them
  */
 public record UpstreamSettings(
         ConnectorSettings connector,
@@ -20,7 +22,8 @@
         Duration callTimeout,
         Duration serviceTimeout,
         int maxLineBytes,
-        int maxBodyBytes) {
+        int maxBodyBytes,
+        Optional<String> orderToken) {
     private static final UpstreamSettings DEFAULTS =
             new UpstreamSettings(
                     ConnectorSettings.defaults(),
@@ -28,7 +31,8 @@
                     Duration.ofSeconds(1),
                     Duration.ofSeconds(30),
                     64 * 1024,
-                    4 * 1024 * 1024);
+                    4 * 1024 * 1024,
+                    Optional.empty());
 
     /**
      * Returns the settings of a daemon.
@@ -38,4 +42,30 @@
     public static UpstreamSettings defaults() {
         return DEFAULTS;
     }
+
+    /**
+     * Returns these settings with a token for orders.
+     *
+     * @param newToken token, if any engine checks who gives orders
+     * @return changed copy
+     */
+    public UpstreamSettings withOrderToken(Optional<String> newToken) {
+        return new UpstreamSettings(
+                connector,
+                streamSilence,
+                callTimeout,
+                serviceTimeout,
+                maxLineBytes,
+                maxBodyBytes,
+                newToken);
+    }
+
+    @Override
+    public String toString() {
+        return "UpstreamSettings["
+                + connector
+                + ", order token "
+                + (orderToken.isPresent() ? "set" : "none")
+                + "]";
+    }
 }
--- a/server/src/test/java/org/amaranthpick/server/store/HttpObjectStoreTest.java
+++ b/server/src/test/java/org/amaranthpick/server/store/HttpObjectStoreTest.java
@@ -46,7 +46,8 @@
                     Duration.ofMillis(400),
                     Duration.ofMillis(1500),
                     64 * 1024,
-                    64 * 1024);
+                    64 * 1024,
+                    Optional.empty());
 
     private final XnioWorker mWorker = Workers.start();
     private final SystemScheduler mScheduler = new SystemScheduler("test-timer");
--- a/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamClientTest.java
+++ b/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamClientTest.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.amaranthpick.core.manifest.LayerRange;
@@ -35,7 +36,8 @@
                     Duration.ofSeconds(5),
                     Duration.ofSeconds(5),
                     1024,
-                    64 * 1024);
+                    64 * 1024,
+                    Optional.of("order-token"));
 
     private final XnioWorker mWorker = Workers.start();
     private final SystemScheduler mScheduler = new SystemScheduler("test-timer");
--- a/standins/src/main/java/org/amaranthpick/standins/EngineStandIn.java
+++ b/standins/src/main/java/org/amaranthpick/standins/EngineStandIn.java
@@ -26,6 +26,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int STATUS_ACCEPTED = 202;
     private static final int STATUS_CONFLICT = 409;
+    private static final int STATUS_FORBIDDEN = 403;
     private static final int STATUS_NOT_FOUND = 404;
 
     private final EngineOptions mOptions;
@@ -43,6 +44,7 @@
     private final Set<String> mCancelled = ConcurrentHashMap.newKeySet();
     private volatile boolean mAlive;
     private volatile boolean mLeaving;
+    private volatile String mOrderToken = "";
 
     /**
      * Starts an engine.
@@ -225,6 +227,15 @@
         mLeaving = leaving;
     }
 
+    /**
+     * Makes the engine check who gives orders.
+     *
+     * @param token bearer token that orders must carry, empty to take all
+     */
+    public void requireOrderToken(String token) {
+        mOrderToken = token;
+    }
+
     /**
      * Tells a cache event.
      *
@@ -334,6 +345,16 @@
     }
 
     private void order(HttpServerExchange exchange) throws IOException {
+        String token = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
+        if (!mOrderToken.isEmpty() && !("Bearer " + mOrderToken).equals(token)) {
+            exchange.setStatusCode(STATUS_FORBIDDEN);
+            Replies.json(
+                    exchange,
+                    MAPPER.createObjectNode()
+                            .put("type", "refused")
+                            .put("reason", "the orderer is not known"));
+            return;
+        }
         Optional<ObjectNode> refusal = mState.take(MAPPER.readTree(exchange.getInputStream()));
         exchange.setStatusCode(refusal.isPresent() ? STATUS_CONFLICT : STATUS_ACCEPTED);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
