--- a/standins/src/main/java/org/amaranthpick/standins/KvCache.java
+++ b/standins/src/main/java/org/amaranthpick/standins/KvCache.java
@@ -1,14 +1,22 @@
 package org.amaranthpick.standins;
 
+import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.LongAdder;
 import org.amaranthpick.core.manifest.LayerRange;
 
 /** KV cache of an engine stand-in: tokens held per request and layer range. */
 final class KvCache {
-    private final Map<Key, Integer> mTokens = new ConcurrentHashMap<>();
+    private static final int MAX_ENTRIES = 10_000;
+
+    private final ConcurrentMap<Key, Integer> mTokens =
+            Caffeine.newBuilder()
+                    .maximumSize(MAX_ENTRIES)
+                    .executor(Runnable::run)
+                    .<Key, Integer>build()
+                    .asMap();
     private final LongAdder mKept = new LongAdder();
     private final LongAdder mImported = new LongAdder();
     private final LongAdder mComputed = new LongAdder();
