--- a/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
@@ -31,6 +31,7 @@
     private final ModelNeeds mNeeds;
     private Map<Identity, List<UpstreamSpec.Holding>> mTold = new HashMap<>();
     private final Map<Identity, Long> mPinnedUntilNs = new HashMap<>();
+    private Optional<PlanInput> mLastInput = Optional.empty();
     private Set<Identity> mUnusable = Set.of();
     private long mFence;
     private long mFenceFloor;
@@ -150,6 +151,7 @@
             mIssuer.start();
             mHolds.start(lease.fence());
             mNextPlanNs = mContext.scheduler().monotonicNs();
+            mLastInput = Optional.empty();
         }
     }
 
@@ -207,6 +209,10 @@
                         Set.of(mDomain),
                         pinned,
                         cutOff(configuration));
+        if (mLastInput.filter(input::equals).isPresent()) {
+            return;
+        }
+        mLastInput = Optional.of(input);
         Plan plan = mPolicy.planner().plan(input);
         logChanges(survey, plan);
         mTold = new HashMap<>(plan.targets());
--- a/core/src/main/java/org/amaranthpick/core/placement/MemoryEngines.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/MemoryEngines.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -16,6 +18,7 @@
 import org.amaranthpick.core.manifest.WeightStoreSpec;
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.observe.UpstreamObservation;
+import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.core.time.Scheduler;
 import org.amaranthpick.core.upstream.CacheEventListener;
 import org.amaranthpick.core.upstream.GenerateCall;
@@ -42,12 +45,12 @@
     private final Deque<Load> mWaiting = new ArrayDeque<>();
     private Duration mOrderDelay = Duration.ZERO;
     private boolean mLosesReplies;
-    private int mRunningLoads;
+    private final List<Load> mRunning = new ArrayList<>();
+    private Cancellable mNextEnd = () -> {};
+    private long mLoadsAtNs;
     private int mMostLoads;
     private long mBytesLoaded;
 
-    private record Load(MemoryEngine engine, UpstreamOrder order, long number, long bytes) {}
-
     /**
      * Creates the engines of a configuration.
      *
@@ -182,24 +185,64 @@
                 .sum();
     }
 
+    /** Starts waiting loads; all running ones share the rate of the weight store. */
     private void startLoads() {
-        mMostLoads = Math.max(mMostLoads, mRunningLoads + mWaiting.size());
-        while (!mWaiting.isEmpty() && mRunningLoads < mStore.concurrentLoads()) {
-            Load load = mWaiting.poll();
-            mRunningLoads++;
-            double rate = (double) mStore.bytesPerSecond() / mStore.concurrentLoads();
-            long nanos = (long) (load.bytes() / rate * NANOS_PER_SECOND);
-            mScheduler.schedule(Duration.ofNanos(nanos), () -> endLoad(load));
+        mMostLoads = Math.max(mMostLoads, mRunning.size() + mWaiting.size());
+        advanceLoads();
+        while (!mWaiting.isEmpty() && mRunning.size() < mStore.concurrentLoads()) {
+            mRunning.add(mWaiting.poll());
         }
+        scheduleNextEnd();
+    }
+
+    private void advanceLoads() {
+        double seconds = (mScheduler.monotonicNs() - mLoadsAtNs) / NANOS_PER_SECOND;
+        mLoadsAtNs = mScheduler.monotonicNs();
+        double share = (double) mStore.bytesPerSecond() / Math.max(1, mRunning.size());
+        mRunning.forEach(load -> load.mBytesLeft -= share * seconds);
+    }
+
+    private void scheduleNextEnd() {
+        mNextEnd.cancel();
+        double share = (double) mStore.bytesPerSecond() / Math.max(1, mRunning.size());
+        mRunning.stream()
+                .mapToDouble(load -> Math.max(0, load.mBytesLeft) / share * NANOS_PER_SECOND)
+                .min()
+                .ifPresent(
+                        nanos ->
+                                mNextEnd =
+                                        mScheduler.schedule(
+                                                Duration.ofNanos((long) Math.ceil(nanos)),
+                                                this::endLoads));
     }
 
-    private void endLoad(Load load) {
-        mRunningLoads--;
-        mBytesLoaded += load.bytes();
-        load.engine().loaded(load.number(), load.order());
+    private void endLoads() {
+        advanceLoads();
+        List<Load> ended = mRunning.stream().filter(load -> load.mBytesLeft < 1).toList();
+        mRunning.removeAll(ended);
+        for (Load load : ended) {
+            mBytesLoaded += load.mBytes;
+            load.mEngine.loaded(load.mNumber, load.mOrder);
+        }
         startLoads();
     }
 
+    private static final class Load {
+        private final MemoryEngine mEngine;
+        private final UpstreamOrder mOrder;
+        private final long mNumber;
+        private final long mBytes;
+        private double mBytesLeft;
+
+        Load(MemoryEngine engine, UpstreamOrder order, long number, long bytes) {
+            mEngine = engine;
+            mOrder = order;
+            mNumber = number;
+            mBytes = bytes;
+            mBytesLeft = bytes;
+        }
+    }
+
     @Override
     public UpstreamStream generate(
             Configuration configuration, GenerateCall call, TokenListener listener) {
--- a/core/src/main/java/org/amaranthpick/core/placement/ModelNeeds.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ModelNeeds.java
@@ -13,6 +13,8 @@
 
 /** Works out which model versions are wanted, and keeps retired ones for a while. */
 final class ModelNeeds {
+    private static final double DEMAND_STEP = 1.1;
+
     private final PlacementContext mContext;
     private final DemandView mDemand;
     private final Map<Identity, Long> mLastWantedNs = new HashMap<>();
@@ -55,12 +57,20 @@
             boolean retired) {
         return new ModelNeed(
                 model,
-                mDemand.tokensPerSecond(model.id()),
+                inSteps(mDemand.tokensPerSecond(model.id())),
                 chains.getOrDefault(model.id(), 1),
                 adapters(configuration, model.id()),
                 retired);
     }
 
+    /** Rounds demand up in steps of a tenth, so that small changes make no new plan. */
+    private static double inSteps(double tokensPerSecond) {
+        if (tokensPerSecond < 1) {
+            return 0;
+        }
+        return Math.pow(DEMAND_STEP, Math.ceil(Math.log(tokensPerSecond) / Math.log(DEMAND_STEP)));
+    }
+
     private List<AdapterSpec> adapters(Configuration configuration, Identity model) {
         return configuration.manifest().pipelines().stream()
                 .filter(pipeline -> pipeline.modelVersion().equals(model))
--- a/core/src/main/java/org/amaranthpick/core/placement/PlacementService.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/PlacementService.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.core.placement;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +17,7 @@
  */
 public final class PlacementService implements Controller, AutoCloseable {
     private static final Duration PERIOD = Duration.ofMillis(500);
+    private static final Duration RANK_PERIOD = Duration.ofSeconds(2);
 
     private final PlacementContext mContext;
     private final PlacementPolicy mPolicy;
@@ -24,6 +26,9 @@
     private final PlacementPeers mPeers;
     private final Candidates mCandidates;
     private final Map<Identity, ControlShard> mShards = new TreeMap<>();
+    private final Map<Identity, Integer> mRanks = new HashMap<>();
+    private long mNextRankNs;
+    private long mRankedGeneration;
     private boolean mClosed;
 
     /**
@@ -68,8 +73,9 @@
             return;
         }
         mHolds.expire();
+        rankIfDue(configuration.get());
         for (DomainSpec domain : configuration.get().manifest().domains()) {
-            Optional<Integer> rank = mCandidates.rank(configuration.get(), domain);
+            Optional<Integer> rank = Optional.ofNullable(mRanks.get(domain.id()));
             ControlShard shard = mShards.get(domain.id());
             if (shard == null && rank.isPresent()) {
                 shard = new ControlShard(domain.id(), mContext, mPolicy, mHolds, mBudget);
@@ -82,6 +88,21 @@
         mPeers.tellLoads(configuration.get(), status());
     }
 
+    private void rankIfDue(Configuration configuration) {
+        long nowNs = mContext.scheduler().monotonicNs();
+        if (nowNs < mNextRankNs && configuration.generation() == mRankedGeneration) {
+            return;
+        }
+        mNextRankNs = nowNs + RANK_PERIOD.toNanos();
+        mRankedGeneration = configuration.generation();
+        mRanks.clear();
+        for (DomainSpec domain : configuration.manifest().domains()) {
+            mCandidates
+                    .rank(configuration, domain)
+                    .ifPresent(rank -> mRanks.put(domain.id(), rank));
+        }
+    }
+
     /**
      * Returns the leases that this daemon holds at this moment.
      *
