Keep silent engines in the plan; leave them out only when they stay away

Cause: digests of other domains come every 10 s and observers change; an age limit of 10 s for all would have counted a silent domain as dead and moved its work at once.

--- a/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
@@ -25,7 +25,7 @@
     private final LeaseKeeper mLease;
     private final ShardJournal mJournal;
     private final HoldAnnouncer mHolds;
-    private final TrustTable mTrust;
+    private final EngineHealth mHealth;
     private final OrderSender mSender;
     private final OrderIssuer mIssuer;
     private final ModelNeeds mNeeds;
@@ -59,10 +59,11 @@
         mLease = new LeaseKeeper(domain.key(), context, this, this::fenceFloor);
         mJournal = new ShardJournal(domain, context, this);
         mHolds = new HoldAnnouncer(domain, context, holds);
-        mTrust = new TrustTable(context.scheduler());
+        TrustTable trust = new TrustTable(context.scheduler());
+        mHealth = new EngineHealth(context, trust);
         mSender =
                 new OrderSender(
-                        domain, context, this, mJournal, mLease, mHolds, mTrust, this::onFenced);
+                        domain, context, this, mJournal, mLease, mHolds, trust, this::onFenced);
         mIssuer = new OrderIssuer(domain, context, mHolds, budget, mSender);
         mNeeds = new ModelNeeds(context, policy.demand());
     }
@@ -149,6 +150,7 @@
             mTold = mJournal.record().holdings();
             mSender.start();
             mIssuer.start();
+            mHealth.start();
             mHolds.start(lease.fence());
             mNextPlanNs = mContext.scheduler().monotonicNs();
             mLastInput = Optional.empty();
@@ -188,7 +190,7 @@
     }
 
     private void control(Configuration configuration, Lease lease) {
-        EngineSurvey survey = new EngineSurvey(configuration, mContext, mTrust::trusted);
+        EngineSurvey survey = new EngineSurvey(configuration, mContext.board(), mHealth, mDomain);
         long nowNs = mContext.scheduler().monotonicNs();
         if (nowNs >= mNextPlanNs) {
             mNextPlanNs = nowNs + mContext.settings().planPeriod().toNanos();
@@ -201,7 +203,8 @@
     private void plan(Configuration configuration, EngineSurvey survey) {
         logUsability(survey);
         List<ModelNeed> needs = mNeeds.current(configuration);
-        Set<Identity> pinned = pinned();
+        Set<Identity> pinned = new HashSet<>(pinned());
+        pinned.addAll(survey.unknown());
         PlanInput input =
                 new PlanInput(
                         survey.views(this::heldOrTold),
@@ -253,10 +256,10 @@
     private void logUsability(EngineSurvey survey) {
         Set<Identity> unusable = new HashSet<>();
         for (EngineSurvey.Entry entry : survey.entries().values()) {
-            if (!entry.usable() && entry.spec().domain().equals(mDomain)) {
+            if (entry.out() && entry.spec().domain().equals(mDomain)) {
                 unusable.add(entry.spec().id());
                 if (!mUnusable.contains(entry.spec().id())) {
-                    log(entry.spec().id(), "left out of plans: " + entry.fault().orElse(""));
+                    log(entry.spec().id(), "left out of plans: " + entry.verdict().reason());
                 }
             }
         }
--- a/core/src/main/java/org/amaranthpick/core/placement/EngineSurvey.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/EngineSurvey.java
@@ -1,15 +1,15 @@
 package org.amaranthpick.core.placement;
 
-import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
-import java.util.function.Predicate;
+import org.amaranthpick.core.board.Blackboard;
 import org.amaranthpick.core.config.Configuration;
 import org.amaranthpick.core.manifest.AcceleratorSpec;
 import org.amaranthpick.core.manifest.HostSpec;
@@ -28,16 +28,24 @@
      * @param accelerator its accelerators
      * @param rack its rack, empty if unknown
      * @param seen last observation, however old
-     * @param fault why it cannot be used, empty if it can
+     * @param verdict what placement does with it
      */
     record Entry(
             UpstreamSpec spec,
             AcceleratorSpec accelerator,
             String rack,
             Optional<UpstreamObservation> seen,
-            Optional<String> fault) {
+            EngineHealth.Verdict verdict) {
         boolean usable() {
-            return fault.isEmpty();
+            return verdict.state() == EngineHealth.State.USABLE;
+        }
+
+        boolean unknown() {
+            return verdict.state() == EngineHealth.State.UNKNOWN;
+        }
+
+        boolean out() {
+            return verdict.state() == EngineHealth.State.OUT;
         }
 
         List<UpstreamSpec.Holding> held() {
@@ -49,13 +57,12 @@
      * Takes a survey.
      *
      * @param configuration configuration in force
-     * @param context what placement works with
-     * @param trusted tells of engines that do what they are told
+     * @param board blackboard with the observations
+     * @param health judges each engine
+     * @param domain domain of the control shard
      */
     EngineSurvey(
-            Configuration configuration, PlacementContext context, Predicate<Identity> trusted) {
-        Instant now = context.scheduler().instant();
-        Duration maxAge = context.settings().maxStatusAge();
+            Configuration configuration, Blackboard board, EngineHealth health, Identity domain) {
         Map<Identity, String> racks = new HashMap<>();
         for (HostSpec host : configuration.manifest().hosts()) {
             racks.put(host.id(), host.rack());
@@ -64,30 +71,22 @@
             if (spec.accelerator().isEmpty()) {
                 continue;
             }
-            Optional<UpstreamObservation> seen = context.board().upstreams().get(spec.id());
+            Optional<UpstreamObservation> seen = board.upstreams().get(spec.id());
             AcceleratorSpec accelerator = spec.accelerator().get();
-            Optional<String> fault =
-                    trusted.test(spec.id())
-                            ? seen.map(o -> fault(o, accelerator, now, maxAge))
-                                    .orElse(Optional.of("it was never seen"))
-                            : Optional.of("it did not do what it was told");
+            boolean near = spec.domain().equals(domain);
+            EngineHealth.Verdict verdict = health.judge(spec, accelerator, seen, near);
             String rack = spec.host().map(h -> racks.getOrDefault(h, "")).orElse("");
-            mEntries.put(spec.id(), new Entry(spec, accelerator, rack, seen, fault));
+            mEntries.put(spec.id(), new Entry(spec, accelerator, rack, seen, verdict));
         }
     }
 
-    private static Optional<String> fault(
-            UpstreamObservation seen, AcceleratorSpec accelerator, Instant now, Duration maxAge) {
-        if (seen.reachability() == UpstreamObservation.Reachability.LOST) {
-            return Optional.of("it is lost");
-        }
-        if (seen.status().leaving()) {
-            return Optional.of("it is leaving");
-        }
-        if (seen.sampledAt().plus(maxAge).isBefore(now)) {
-            return Optional.of("its last report is too old");
-        }
-        return StatusCheck.fault(accelerator, seen.status());
+    /** Returns the engines that keep their place in the plan though they are silent. */
+    Set<Identity> unknown() {
+        Set<Identity> unknown = new HashSet<>();
+        mEntries.values().stream()
+                .filter(Entry::unknown)
+                .forEach(entry -> unknown.add(entry.spec().id()));
+        return unknown;
     }
 
     Map<Identity, Entry> entries() {
@@ -109,7 +108,7 @@
                             entry.rack(),
                             entry.accelerator().memoryBytes(),
                             entry.accelerator().decodeLayerTokensPerSecond(),
-                            entry.usable(),
+                            !entry.out(),
                             holdings.apply(entry)));
         }
         views.sort(Comparator.comparing(EngineView::id));
--- a/core/src/main/java/org/amaranthpick/core/placement/PlacementSettings.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/PlacementSettings.java
@@ -17,7 +17,9 @@
  * @param holdSpread time in which every daemon learns of a routing hold
  * @param holdRefresh time between two announcements of the same holds
  * @param holdExpiry time after which a hold that is not announced any more is dropped
- * @param maxStatusAge age above which an observation is too old to order by
+ * @param maxStatusAge age above which an observation in the own domain is too old to order by
+ * @param lostGrace time for which a lost engine keeps its place in the plan
+ * @param unknownLimit time for which a silent engine keeps its place in the plan
  * @param retiredGrace time for which a version is kept after the last pipeline left it
  * @param orderRetry first wait before an order is given again
  * @param maxOrderRetry longest wait before an order is given again
@@ -37,6 +39,8 @@
         Duration holdRefresh,
         Duration holdExpiry,
         Duration maxStatusAge,
+        Duration lostGrace,
+        Duration unknownLimit,
         Duration retiredGrace,
         Duration orderRetry,
         Duration maxOrderRetry,
@@ -62,6 +66,8 @@
                 Duration.ofSeconds(10),
                 Duration.ofSeconds(30),
                 Duration.ofSeconds(10),
+                Duration.ofSeconds(4),
+                Duration.ofSeconds(120),
                 Duration.ofSeconds(60),
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(120),
--- a/core/src/test/java/org/amaranthpick/core/placement/OrderSafetyTest.java
+++ b/core/src/test/java/org/amaranthpick/core/placement/OrderSafetyTest.java
@@ -57,6 +57,8 @@
                 s.holdRefresh(),
                 s.holdExpiry(),
                 s.maxStatusAge(),
+                s.lostGrace(),
+                s.unknownLimit(),
                 s.retiredGrace(),
                 s.orderRetry(),
                 s.maxOrderRetry(),
--- a/core/src/test/java/org/amaranthpick/core/placement/PlacementRig.java
+++ b/core/src/test/java/org/amaranthpick/core/placement/PlacementRig.java
@@ -55,6 +55,7 @@
     final Map<Identity, Long> mFences = new HashMap<>();
     MemoryEngines mEngines;
     Configuration mConfiguration;
+    boolean mReports = true;
     LinkHealth mLinks = LinkHealth.ALL_WELL;
     PlacementSettings mSettings = PlacementSettings.defaults();
 
@@ -182,7 +183,9 @@
             mScheduler.advance(TICK);
             for (Daemon daemon : mDaemons.values()) {
                 if (daemon.mRuns) {
-                    mEngines.report(daemon.mBoard);
+                    if (mReports) {
+                        mEngines.report(daemon.mBoard);
+                    }
                     daemon.mService.step();
                 }
             }
