Notice engines that change without an order

Cause: some upstreams do not check who orders them. Change: a change of holdings in the same boot without an own order is logged with its remedy, and undone like any other difference. Conclusion: test with a foreign change and with a restart, which is not taken for one.

--- a/core/src/main/java/org/amaranthpick/core/placement/EngineSurvey.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/EngineSurvey.java
@@ -48,6 +48,10 @@
             return verdict.state() == EngineHealth.State.OUT;
         }
 
+        String bootId() {
+            return seen.map(o -> o.status().bootId()).orElse("");
+        }
+
         List<UpstreamSpec.Holding> held() {
             return seen.map(o -> o.status().holdings()).orElse(List.of());
         }
--- a/core/src/main/java/org/amaranthpick/core/placement/OrderIssuer.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/OrderIssuer.java
@@ -28,6 +28,7 @@
     private final HoldAnnouncer mHolds;
     private final WeightBudget mBudget;
     private final OrderSender mSender;
+    private final ForeignChanges mForeign = new ForeignChanges();
     private final Map<Identity, EngineOrder> mOrders = new TreeMap<>();
     private Map<Identity, List<UpstreamSpec.Holding>> mTargets = Map.of();
     private Set<Identity> mProtected = Set.of();
@@ -50,6 +51,7 @@
     /** Starts anew; only observations from now on count. */
     void start() {
         mOrders.clear();
+        mForeign.start();
         mTargets = Map.of();
         mLoadsWanted = 0;
         mKnowledgeStart = mContext.scheduler().instant();
@@ -123,8 +125,9 @@
         if (sampledAt.isBefore(mKnowledgeStart)) {
             return Optional.empty();
         }
+        noteForeignChange(entry.get());
         if (Holdings.same(entry.get().held(), target)) {
-            settle(engine, target);
+            settle(entry.get(), target);
             return Optional.empty();
         }
         EngineOrder order = mOrders.get(engine);
@@ -136,7 +139,20 @@
                 new Work(order, entry.get(), bytesToLoad(configuration, entry.get(), order)));
     }
 
-    private void settle(Identity engine, List<UpstreamSpec.Holding> target) {
+    private void noteForeignChange(EngineSurvey.Entry entry) {
+        Identity engine = entry.spec().id();
+        if (mForeign.isForeign(engine, entry.bootId(), entry.held())) {
+            String remedy =
+                    entry.spec().checksOrderer()
+                            ? "check its credentials"
+                            : "it does not check its orderer; keep others off its network";
+            mSender.log(engine, "changed without an order of this shard; " + remedy);
+        }
+    }
+
+    private void settle(EngineSurvey.Entry entry, List<UpstreamSpec.Holding> target) {
+        Identity engine = entry.spec().id();
+        mForeign.settled(engine, entry.bootId(), entry.held());
         EngineOrder order = mOrders.get(engine);
         if (order != null && order.mAttempts > 0) {
             mSender.log(engine, "done: holds " + OrderSender.text(target));
@@ -160,7 +176,7 @@
             Configuration configuration, EngineSurvey survey, Work work, List<Work> ready) {
         EngineOrder order = work.order();
         long nowNs = mContext.scheduler().monotonicNs();
-        String bootId = work.entry().seen().orElseThrow().status().bootId();
+        String bootId = work.entry().bootId();
         if (order.mSending || order.isUnderWay(nowNs, bootId)) {
             return;
         }
@@ -171,6 +187,7 @@
             return;
         }
         if (!work.destructive() || readyToDestroy(configuration, survey, work)) {
+            mForeign.ordered(order.mEngine);
             ready.add(work);
         }
     }
--- a/core/src/main/java/org/amaranthpick/core/placement/OrderSender.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/OrderSender.java
@@ -124,7 +124,7 @@
         }
         order.mSending = true;
         order.mAttempts++;
-        order.mBootId = work.entry().seen().map(o -> o.status().bootId()).orElse("");
+        order.mBootId = work.entry().bootId();
         log(
                 order.mEngine,
                 "sent fence "
--- a/core/src/test/java/org/amaranthpick/core/placement/RepairTest.java
+++ b/core/src/test/java/org/amaranthpick/core/placement/RepairTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.stream.IntStream;
 import org.amaranthpick.core.manifest.Manifest;
+import org.amaranthpick.core.manifest.UpstreamSpec;
 import org.amaranthpick.core.name.Identity;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -84,6 +85,25 @@
         assertTrue(rig.full() && rig.quiet());
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void changeByAnybodyElseIsNoticedAndUndone(boolean restarted) {
+        PlacementRig rig = settled(SHAPE);
+        MemoryEngine engine = rig.mEngines.engine(engine(1, 2));
+        List<UpstreamSpec.Holding> wanted = engine.holdings();
+        if (restarted) {
+            engine.restart();
+        } else {
+            engine.loadNow(List.of(PlacementRig.holding(rig.model(1), 1, 3)));
+        }
+        rig.run(Duration.ofSeconds(2));
+        String noticed = "order " + engine.spec().id().key() + " changed without an order";
+        boolean told = rig.mDecisions.stream().anyMatch(d -> d.startsWith(noticed));
+        assertEquals(!restarted, told);
+        rig.runUntil(SETTLED, () -> rig.quiet());
+        assertEquals(wanted, engine.holdings());
+    }
+
     private static PlacementSettings settings() {
         return PlacementSettings.defaults();
     }
