Bound each daemon's store calls

Cause: nothing kept a daemon to its share of the store's rate. Change: every store call of the daemon passes the budget. Claims and leases go at once and the others pay for them: their rate is bounded over all daemons together by the number of shards, while a claim owner at the target needs more than an equal share (2 writes/s per shard against 300/440 = 0.7 writes/s). Conclusion: an equal share for everything would have starved the owners.

--- a/server/src/main/java/org/amaranthpick/server/daemon/DaemonGauges.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/DaemonGauges.java
@@ -9,6 +9,7 @@
 import org.amaranthpick.core.request.RequestRouter;
 import org.amaranthpick.server.metrics.DaemonMetrics;
 import org.amaranthpick.server.peer.PeerCounters;
+import org.amaranthpick.server.store.BudgetCounters;
 
 /** Registers what is read from the daemon's parts at each scrape of the metrics. */
 final class DaemonGauges {
@@ -21,6 +22,7 @@
         requests(metrics, router);
         claims(metrics, control.claims().counters());
         peers(metrics, control.peerCounters());
+        store(metrics, base.store().counters());
         upstreams(metrics, base);
     }
 
@@ -69,6 +71,15 @@
         metrics.gauge("claim_unknowns", "Claim writes whose answer was lost.", claims::unknowns);
     }
 
+    private static void store(DaemonMetrics metrics, BudgetCounters store) {
+        metrics.gauge("store_reads", "Reads and lists sent to the store.", store::reads);
+        metrics.gauge("store_writes", "Writes sent to the store.", store::writes);
+        metrics.gauge("store_waited", "Store calls that waited for the share.", store::waited);
+        metrics.gauge("store_refused", "Store calls refused over the share.", store::refused);
+        metrics.gauge("store_pauses", "Pauses after failures in a row.", store::pauses);
+        metrics.gauge("store_watches", "Open watches.", store::watches);
+    }
+
     private static void peers(DaemonMetrics metrics, PeerCounters peers) {
         for (PeerCounters.Event event : PeerCounters.Event.values()) {
             metrics.gauge(
--- a/server/src/main/java/org/amaranthpick/server/daemon/Foundation.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/Foundation.java
@@ -7,10 +7,11 @@
 import org.amaranthpick.core.board.Blackboard;
 import org.amaranthpick.core.explain.DecisionTrail;
 import org.amaranthpick.core.invariant.Invariants;
-import org.amaranthpick.core.store.ObjectStore;
 import org.amaranthpick.core.store.WriterTokens;
 import org.amaranthpick.core.upstream.UpstreamClient;
 import org.amaranthpick.server.metrics.DaemonMetrics;
+import org.amaranthpick.server.store.BudgetSettings;
+import org.amaranthpick.server.store.BudgetedObjectStore;
 import org.amaranthpick.server.store.HttpObjectStore;
 import org.amaranthpick.server.store.StoreSettings;
 import org.amaranthpick.server.time.SystemScheduler;
@@ -24,6 +25,7 @@
 /** What every part of a daemon stands on: threads, clocks, randomness, clients, shared state. */
 final class Foundation implements AutoCloseable {
     private static final int EXPLAINED_SUBJECTS = 10_000;
+    private static final int STORE_RANDOM = 6;
     private static final int MAX_TASK_THREADS = 4;
     private static final String RANDOM_ALGORITHM = "L64X128MixRandom";
 
@@ -32,7 +34,7 @@
     private final XnioWorker mWorker;
     private final SystemScheduler mScheduler = new SystemScheduler("amaranthpick-timers");
     private final SystemScheduler mControlScheduler = new SystemScheduler("amaranthpick-control");
-    private final ObjectStore mStore;
+    private final BudgetedObjectStore mStore;
     private final UpstreamClient mUpstreams;
     private final WriterTokens mTokens;
     private final Blackboard mBoard = new Blackboard();
@@ -53,8 +55,15 @@
                         .getMap();
         mWorker = Xnio.getInstance().createWorker(options);
         mStore =
-                new HttpObjectStore(
-                        settings.storeAddress(), mWorker, mScheduler, StoreSettings.defaults());
+                new BudgetedObjectStore(
+                        new HttpObjectStore(
+                                settings.storeAddress(),
+                                mWorker,
+                                mScheduler,
+                                StoreSettings.defaults()),
+                        mScheduler,
+                        random(STORE_RANDOM),
+                        BudgetSettings.ofShare(settings.storeCallsPerSecond()));
         mUpstreams = new HttpUpstreamClient(mWorker, mScheduler, UpstreamSettings.defaults());
         mTokens = new WriterTokens(settings.host().key(), mBootNonce);
         mDecisions = new DecisionTrail(mScheduler, EXPLAINED_SUBJECTS);
@@ -83,7 +92,7 @@
         return mControlScheduler;
     }
 
-    ObjectStore store() {
+    BudgetedObjectStore store() {
         return mStore;
     }
 
--- a/server/src/main/java/org/amaranthpick/server/daemon/SettingsReader.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/SettingsReader.java
@@ -31,6 +31,7 @@
     private static final String SEED_REMEDY =
             "write fleet/entry-2@10.0.0.7:7400@fleet/domain@region";
     private static final int MIN_TOKEN_LENGTH = 16;
+    private static final double DEFAULT_STORE_CALLS = 20;
     private static final int MIN_DEFAULT_THREADS = 2;
 
     private final Map<String, String> mFlags;
@@ -75,7 +76,7 @@
                         limits(),
                         duration("drain-grace", Duration.ofMinutes(10)),
                         duration("balancer-lag", Duration.ofSeconds(5)),
-                        number("store-calls-per-second", 4, 0.1, 1_000),
+                        number("store-calls-per-second", DEFAULT_STORE_CALLS, 0.1, 1_000),
                         (int) number("io-threads", defaultThreads(), 1, 64));
         if (!mFaults.isEmpty()) {
             throw new SettingsException(mFaults);
--- a/server/src/main/java/org/amaranthpick/server/store/CallBucket.java
+++ b/server/src/main/java/org/amaranthpick/server/store/CallBucket.java
@@ -3,6 +3,7 @@
 /** Token bucket whose rate may change. Guarded by the lock of its budget. */
 final class CallBucket {
     private static final double NS_PER_SECOND = 1e9;
+    private static final int MAX_DEBT_BURSTS = 10;
 
     private final double mMax;
     private double mCalls;
@@ -28,6 +29,15 @@
         return true;
     }
 
+    /** Takes a call that must not wait; later ones pay for it. False if too much is owed. */
+    boolean borrow() {
+        if (mCalls < -mMax * MAX_DEBT_BURSTS) {
+            return false;
+        }
+        mCalls--;
+        return true;
+    }
+
     /** Returns the time until the next call may be taken. */
     long waitNs(double callsPerSecond) {
         return (long) Math.ceil(Math.max(0, 1 - mCalls) / callsPerSecond * NS_PER_SECOND);
--- a/server/src/main/java/org/amaranthpick/server/store/CallGate.java
+++ b/server/src/main/java/org/amaranthpick/server/store/CallGate.java
@@ -65,7 +65,8 @@
 
     private Runnable decide(StorePriority priority, Runnable run, Consumer<Duration> refuse) {
         refill();
-        if (mQueued == 0 && mBucket.take()) {
+        boolean bounded = priority == StorePriority.COORDINATION;
+        if (bounded ? mBucket.borrow() : mQueued == 0 && mBucket.take()) {
             return enterOrRefuse(run, refuse);
         }
         if (mQueued >= mSettings.maxQueued()) {
--- a/server/src/main/java/org/amaranthpick/server/store/StorePriority.java
+++ b/server/src/main/java/org/amaranthpick/server/store/StorePriority.java
@@ -4,7 +4,10 @@
 public enum StorePriority {
     /** Configuration: it must be in force within seconds. */
     CONFIGURATION,
-    /** Claims and leases: somebody waits, or a lease runs out. */
+    /**
+     * Claims and leases: somebody waits, or a lease runs out. Their rate is bounded over all
+     * daemons together by the number of shards, so they go at once and the others pay for them.
+     */
     COORDINATION,
     /** Everything else. */
     OTHER;
--- a/server/src/test/java/org/amaranthpick/server/store/BudgetedObjectStoreTest.java
+++ b/server/src/test/java/org/amaranthpick/server/store/BudgetedObjectStoreTest.java
@@ -41,6 +41,8 @@
                     Duration.ofSeconds(4),
                     Duration.ofSeconds(5));
 
+    private static final WriterToken TOKEN = new WriterToken("f/host/h", 1, 1);
+
     private final VirtualScheduler mTime = new VirtualScheduler(Instant.EPOCH);
     private final CountingStore mStore = new CountingStore();
     private final BudgetedObjectStore mBudget = budget(1);
@@ -83,6 +85,18 @@
         }
     }
 
+    /** A claim's owner at the target writes more than an equal share; the rest pays for it. */
+    @Test
+    void coordinationGoesAtOnceAndTheOthersPay() {
+        for (int i = 0; i < 8; i++) {
+            mBudget.write("claims/" + i, new WriteCondition.Absent(), new byte[0], TOKEN);
+        }
+        assertEquals(8, mStore.mWritten);
+        mBudget.write("other", new WriteCondition.Absent(), new byte[0], TOKEN);
+        advanceSeconds(1);
+        assertEquals(8, mStore.mWritten);
+    }
+
     @Test
     void configurationGoesFirst() {
         for (int i = 0; i < 15; i++) {
@@ -196,6 +210,7 @@
     private static final class CountingStore implements ObjectStore {
         private final MemoryObjectStore mObjects = new MemoryObjectStore();
         private int mCalls;
+        private int mWritten;
         private String mLastKey = "";
         private boolean mOut;
         private boolean mThrottle;
@@ -216,6 +231,7 @@
         @Override
         public CompletionStage<WriteResult> write(
                 String key, WriteCondition condition, byte[] value, WriterToken writer) {
+            mWritten++;
             return mObjects.write(key, condition, value, writer);
         }
 
