Add a soak: callers against stand-ins that fail at random

Cause: the promises were shown together by the demo only. Change: soak command; callers ask, repeat checkouts through any daemon and compare every answer with what the stand-ins ran; engines, connections, store and service fail at random; invariants of the daemons are read at the end.

--- a/server/src/main/java/org/amaranthpick/server/daemon/Daemon.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/Daemon.java
@@ -98,6 +98,15 @@
         return Optional.empty();
     }
 
+    /**
+     * Counts the violations of the program's invariants.
+     *
+     * @return violations since the start
+     */
+    public long invariantViolations() {
+        return mBase.invariants().total();
+    }
+
     /**
      * Shuts down gracefully: readiness fails at once, requests are taken for the balancer's lag,
      * then refused; those in progress end. After the grace the rest is interrupted, one log line
--- a/tools/src/main/java/org/amaranthpick/tools/Main.java
+++ b/tools/src/main/java/org/amaranthpick/tools/Main.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.amaranthpick.tools.demo.DemoCommand;
+import org.amaranthpick.tools.demo.SoakCommand;
 import org.amaranthpick.tools.demo.StandInsCommand;
 
 /** Entry point of the program: one command class per command. */
@@ -23,6 +24,7 @@
             ExplainCommand.class,
             DrainCommand.class,
             DemoCommand.class,
+            SoakCommand.class,
             StandInsCommand.class
         })
 public final class Main {
--- a/tools/src/main/java/org/amaranthpick/tools/demo/DemoCommand.java
+++ b/tools/src/main/java/org/amaranthpick/tools/demo/DemoCommand.java
@@ -3,22 +3,11 @@
 import com.github.rvesse.airline.annotations.Option;
 import java.io.PrintStream;
 import java.time.Duration;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
-import org.amaranthpick.core.config.ConfigurationStore;
-import org.amaranthpick.core.config.PublishResult;
-import org.amaranthpick.core.manifest.ManifestLoader;
-import org.amaranthpick.core.manifest.ManifestResult;
-import org.amaranthpick.core.store.ObjectStore;
-import org.amaranthpick.core.store.WriterTokens;
 import org.amaranthpick.server.daemon.Daemon;
-import org.amaranthpick.server.store.HttpObjectStore;
-import org.amaranthpick.server.store.StoreSettings;
 import org.amaranthpick.standins.EngineStandIn;
 import org.amaranthpick.tools.Command;
-import org.amaranthpick.tools.CommandException;
 import org.amaranthpick.tools.ExitCode;
 import org.amaranthpick.tools.client.CommandClient;
 
@@ -45,8 +34,8 @@
                 DemoDaemons daemons = new DemoDaemons(platform.store().address(), DAEMONS);
                 CommandClient client = new CommandClient()) {
             DemoRun run = new DemoRun(platform, daemons, new DemoCalls(client), out);
-            apply(platform, client, out);
-            await("daemons ready", () -> daemons.all().stream().allMatch(DemoCommand::isReady));
+            DemoSetup.apply(platform, client, out);
+            DemoSetup.awaitReady(daemons);
             run.answerBothFleets();
             run.killStageMidAnswer();
             run.repeatCheckout();
@@ -141,40 +130,7 @@
         }
     }
 
-    private static void apply(DemoPlatform platform, CommandClient client, PrintStream out) {
-        ManifestResult loaded = ManifestLoader.load(platform.manifest());
-        if (!(loaded instanceof ManifestResult.Valid valid)) {
-            throw new CommandException(ExitCode.REFUSED, "the demo's manifest: " + loaded);
-        }
-        try (ObjectStore store =
-                new HttpObjectStore(
-                        platform.store().address(),
-                        client.worker(),
-                        client.scheduler(),
-                        StoreSettings.defaults())) {
-            ConfigurationStore configuration =
-                    new ConfigurationStore(store, client.scheduler(), new WriterTokens("demo", 1));
-            PublishResult result =
-                    join(configuration.publish(valid.manifest(), OptionalLong.of(0)));
-            out.println("manifest of both fleets, with the same names: " + result);
-        }
-    }
-
-    private static boolean isReady(Daemon daemon) {
-        return daemon.notReady().isEmpty();
-    }
-
     private static <T> T join(java.util.concurrent.CompletionStage<T> stage) {
         return stage.toCompletableFuture().orTimeout(WAIT.toSeconds(), TimeUnit.SECONDS).join();
     }
-
-    private static void await(String what, BooleanSupplier condition) {
-        long endNs = System.nanoTime() + WAIT.toNanos();
-        while (!condition.getAsBoolean()) {
-            if (System.nanoTime() > endNs) {
-                throw new CommandException(ExitCode.UNREACHABLE, "waited in vain for: " + what);
-            }
-            java.util.concurrent.locks.LockSupport.parkNanos(10_000_000);
-        }
-    }
 }
