Measure the control plane; keep readers and installation off the locks

Cause: addresses were looked up under the membership's lock, which the configuration service may hold back through the peer network; a manifest of target size takes 32 ms to install, too long for a thread that reads peers.

Change: addressOf, member and isReady never wait; a fetched manifest is read on a timer thread outside the lock. The news queue holds 64 changes at most.

--- /dev/null
+++ b/bench/src/main/java/org/amaranthpick/bench/ControlDaemon.java
@@ -0,0 +1,15 @@
+package org.amaranthpick.bench;
+
+import org.amaranthpick.core.peer.VirtualPeers;
+
+/** Control part of one daemon in a measuring run. */
+interface ControlDaemon {
+    /** Returns the generation in force. */
+    long generation();
+
+    /** Returns its side of the network. */
+    VirtualPeers.Endpoint endpoint();
+
+    /** Names the role that it has now. */
+    String role();
+}
--- a/core/src/main/java/org/amaranthpick/core/config/ConfigurationService.java
+++ b/core/src/main/java/org/amaranthpick/core/config/ConfigurationService.java
@@ -13,6 +13,7 @@
 import org.amaranthpick.core.config.ConfigMessage.Notice;
 import org.amaranthpick.core.config.ConfigMessage.RootReply;
 import org.amaranthpick.core.config.ConfigMessage.RootRequest;
+import org.amaranthpick.core.manifest.Manifest;
 import org.amaranthpick.core.member.GenerationExchange;
 import org.amaranthpick.core.member.MemberView;
 import org.amaranthpick.core.name.Identity;
@@ -45,6 +46,7 @@
     private final Spread mSpread;
     private Optional<Cancellable> mTimer = Optional.empty();
     private boolean mClosed;
+    private volatile boolean mReady;
 
     /**
      * Creates the service; it does nothing before {@link #start()}.
@@ -97,9 +99,7 @@
      * @return true from then on
      */
     public boolean isReady() {
-        synchronized (mLock) {
-            return mStartup.isSettled(mInForce.generation()) && current().isPresent();
-        }
+        return mReady;
     }
 
     /**
@@ -160,6 +160,7 @@
                 mTracker.tell(mInForce.generation(), false);
             }
             mTracker.forgetGone();
+            refreshReady();
             mTimer = Optional.of(mScheduler.schedule(STEP_PERIOD, this::step));
         }
     }
@@ -168,6 +169,7 @@
         synchronized (mLock) {
             if (!mClosed) {
                 dispatch(from, (ConfigMessage) message);
+                refreshReady();
             }
         }
     }
@@ -203,30 +205,44 @@
         mNetwork.send(to, new ChunkReply(digest, mHeld.chunk(digest).orElse(new byte[0])));
     }
 
+    /** Installs content on a timer thread, since reading a large manifest takes a while. */
     private void install(ContentFetcher.Fetched fetched) {
+        mScheduler.schedule(Duration.ZERO, () -> assemble(fetched));
+    }
+
+    private void assemble(ContentFetcher.Fetched fetched) {
         ConfigurationRoot root = fetched.root();
-        if (!ManifestChunks.digestOf(root.chunks()).equals(root.digest())) {
-            sLogger.atWarning().log(
-                    "%s generation %d refused, its digest does not match; apply it again",
-                    PREFIX, root.generation());
+        Optional<Configuration> configuration = configuration(fetched);
+        if (configuration.isEmpty() || !mInForce.install(configuration.get())) {
             return;
         }
-        Configuration configuration;
+        synchronized (mLock) {
+            if (mClosed || root.generation() < mInForce.generation()) {
+                return;
+            }
+            mHeld.replace(root, fetched.chunks());
+            mTracker.tell(root.generation(), true);
+            mSpread.onInstalled(root.generation(), fetched.peer());
+            refreshReady();
+        }
+    }
+
+    private static Optional<Configuration> configuration(ContentFetcher.Fetched fetched) {
+        ConfigurationRoot root = fetched.root();
         try {
-            configuration =
-                    new Configuration(
-                            root.generation(),
-                            root.digest(),
-                            ManifestChunks.join(fetched.chunks().values()));
+            if (!ManifestChunks.digestOf(root.chunks()).equals(root.digest())) {
+                throw new IllegalArgumentException("its digest does not match, apply it again");
+            }
+            Manifest manifest = ManifestChunks.join(fetched.chunks().values());
+            return Optional.of(new Configuration(root.generation(), root.digest(), manifest));
         } catch (IllegalArgumentException e) {
             sLogger.atWarning().log(
                     "%s generation %d refused, %s", PREFIX, root.generation(), e.getMessage());
-            return;
-        }
-        if (mInForce.install(configuration)) {
-            mHeld.replace(root, fetched.chunks());
-            mTracker.tell(root.generation(), true);
-            mSpread.onInstalled(root.generation(), fetched.peer());
+            return Optional.empty();
         }
     }
+
+    private void refreshReady() {
+        mReady = mReady || (mStartup.isSettled(mInForce.generation()) && current().isPresent());
+    }
 }
--- a/core/src/main/java/org/amaranthpick/core/config/ContentFetcher.java
+++ b/core/src/main/java/org/amaranthpick/core/config/ContentFetcher.java
@@ -41,6 +41,7 @@
     private Optional<ConfigurationRoot> mRoot = Optional.empty();
     private Optional<Identity> mPeer = Optional.empty();
     private long mWanted;
+    private long mFinished;
     private boolean mActive;
     private int mAttempt;
     private long mStep;
@@ -126,7 +127,8 @@
     }
 
     private long heldGeneration() {
-        return mHeld.root().map(ConfigurationRoot::generation).orElse(0L);
+        long held = mHeld.root().map(ConfigurationRoot::generation).orElse(0L);
+        return Math.max(held, mFinished);
     }
 
     private void begin(long generation) {
@@ -266,6 +268,7 @@
     private void finish() {
         mStep++;
         mActive = false;
+        mFinished = mRoot.get().generation();
         Fetched fetched = new Fetched(mRoot.get(), Map.copyOf(mChunks), mPeer);
         mRoot = Optional.empty();
         mChunks.clear();
--- a/core/src/main/java/org/amaranthpick/core/member/HostList.java
+++ b/core/src/main/java/org/amaranthpick/core/member/HostList.java
@@ -25,10 +25,6 @@
         mState = state;
     }
 
-    Optional<ListedHost> find(Identity host) {
-        return Optional.ofNullable(mHosts.get(host));
-    }
-
     /** Returns the listed hosts of a domain that run a daemon, this one left out. */
     List<Identity> daemonsOf(Identity domain) {
         List<Identity> hosts = new ArrayList<>();
--- a/core/src/main/java/org/amaranthpick/core/member/MemberView.java
+++ b/core/src/main/java/org/amaranthpick/core/member/MemberView.java
@@ -27,4 +27,15 @@
      * @return the member, if known and not dead
      */
     Optional<Member> member(Identity host);
+
+    /**
+     * Tells whether the domain of a daemon can be reached from this domain. A daemon of a domain
+     * that is cut off stays a member.
+     *
+     * @param member member
+     * @return false while no relay of this domain hears of the member's domain
+     */
+    default boolean isReachable(Member member) {
+        return true;
+    }
 }
--- a/core/src/main/java/org/amaranthpick/core/member/Membership.java
+++ b/core/src/main/java/org/amaranthpick/core/member/Membership.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -50,6 +52,8 @@
     private boolean mClosed;
     private long mViewVersion = -1;
     private volatile List<Member> mView = List.of();
+    private volatile Map<Identity, Member> mViewByHost = Map.of();
+    private volatile Map<Identity, PeerAddress> mListedAddresses = Map.of();
     private volatile Member mSelf;
     private volatile Set<Identity> mUnreachable = Set.of();
 
@@ -120,12 +124,12 @@
 
     @Override
     public Optional<Member> member(Identity host) {
-        for (Member member : mView) {
-            if (member.host().equals(host)) {
-                return Optional.of(member);
-            }
-        }
-        return Optional.empty();
+        return Optional.ofNullable(mViewByHost.get(host));
+    }
+
+    @Override
+    public boolean isReachable(Member member) {
+        return !mUnreachable.contains(member.domain());
     }
 
     /**
@@ -138,16 +142,14 @@
     }
 
     /**
-     * Finds the peer address of a daemon, also of one known from the host list only.
+     * Finds the peer address of a daemon, also of one known from the host list only. Never waits.
      *
      * @param host identity of kind HOST
      * @return its address, if known
      */
     public Optional<PeerAddress> addressOf(Identity host) {
-        synchronized (mLock) {
-            Optional<PeerAddress> own = mState.table().find(host).map(Member::address);
-            return own.isPresent() ? own : mHosts.find(host).flatMap(ListedHost::address);
-        }
+        Optional<PeerAddress> own = member(host).map(Member::address);
+        return own.isPresent() ? own : Optional.ofNullable(mListedAddresses.get(host));
     }
 
     /**
@@ -263,6 +265,7 @@
                 return;
             }
             mDirectoryKnown = true;
+            mListedAddresses = addresses(hosts);
             News fresh = mHosts.onRead(hosts);
             if (!fresh.isEmpty()) {
                 broadcastRepeatedly(fresh);
@@ -272,6 +275,14 @@
         }
     }
 
+    private static Map<Identity, PeerAddress> addresses(List<ListedHost> hosts) {
+        Map<Identity, PeerAddress> addresses = new HashMap<>();
+        for (ListedHost listed : hosts) {
+            listed.address().ifPresent(address -> addresses.put(listed.host(), address));
+        }
+        return Map.copyOf(addresses);
+    }
+
     /** Introduces this daemon to listed daemons of its domain that it does not know alive. */
     private void join() {
         List<Identity> contacts = new ArrayList<>(mHosts.daemonsOf(mState.ownDomain()));
@@ -386,6 +397,9 @@
         if (mViewVersion != mState.table().version()) {
             mViewVersion = mState.table().version();
             mView = List.copyOf(mState.table().live());
+            Map<Identity, Member> byHost = new HashMap<>();
+            mView.forEach(member -> byHost.put(member.host(), member));
+            mViewByHost = byHost;
         }
     }
 }
--- a/core/src/main/java/org/amaranthpick/core/member/NewsQueue.java
+++ b/core/src/main/java/org/amaranthpick/core/member/NewsQueue.java
@@ -9,9 +9,13 @@
 import org.amaranthpick.core.member.MemberMessage.ReachReport;
 import org.amaranthpick.core.name.Identity;
 
-/** Changes that ride on heartbeats, each a limited number of times, the least told first. */
+/**
+ * Changes that ride on heartbeats, each a limited number of times, the least told first. When too
+ * many wait, the most told are dropped: the comparison of tables carries them.
+ */
 final class NewsQueue {
     private static final int MAX_ITEMS = 8;
+    private static final int MAX_QUEUED = 64;
     private static final int REPEATS_PER_DOUBLING = 2;
 
     private final Map<Key, Item> mItems = new HashMap<>();
@@ -68,7 +72,19 @@
     }
 
     private void put(Kind kind, Identity subject, Object content) {
-        mItems.put(new Key(kind, subject), new Item(content));
+        Key key = new Key(kind, subject);
+        mItems.remove(key);
+        if (mItems.size() >= MAX_QUEUED) {
+            mItems.remove(mostTold());
+        }
+        mItems.put(key, new Item(content));
+    }
+
+    private Key mostTold() {
+        return mItems.entrySet().stream()
+                .max(Comparator.comparingInt(entry -> entry.getValue().mTold))
+                .orElseThrow()
+                .getKey();
     }
 
     private static int repeats(int groupSize) {
