--- a/core/src/main/java/org/amaranthpick/core/member/Membership.java
+++ b/core/src/main/java/org/amaranthpick/core/member/Membership.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -45,17 +43,12 @@
     private final Prober mProber;
     private final DomainLinks mLinks;
     private final TableSync mSync;
+    private final MemberSnapshot mSnapshot;
     private Optional<Cancellable> mTimer = Optional.empty();
     private long mLastStepNs;
     private long mDirectoryReadNs;
     private boolean mDirectoryKnown;
     private boolean mClosed;
-    private long mViewVersion = -1;
-    private volatile List<Member> mView = List.of();
-    private volatile Map<Identity, Member> mViewByHost = Map.of();
-    private volatile Map<Identity, PeerAddress> mListedAddresses = Map.of();
-    private volatile Member mSelf;
-    private volatile Set<Identity> mUnreachable = Set.of();
 
     /**
      * Creates the membership; it does nothing before {@link #start()}.
@@ -84,8 +77,8 @@
         mProber = new Prober(mState, random);
         mLinks = new DomainLinks(mState, mHosts, random);
         mSync = new TableSync(mState);
-        mSelf = self;
-        refreshView();
+        mSnapshot = new MemberSnapshot(self);
+        mSnapshot.refresh(mState);
     }
 
     /** Registers the message handlers, reads the host list and starts probing. */
@@ -114,22 +107,22 @@
 
     @Override
     public Member self() {
-        return mSelf;
+        return mSnapshot.self();
     }
 
     @Override
     public List<Member> members() {
-        return mView;
+        return mSnapshot.members();
     }
 
     @Override
     public Optional<Member> member(Identity host) {
-        return Optional.ofNullable(mViewByHost.get(host));
+        return mSnapshot.member(host);
     }
 
     @Override
     public boolean isReachable(Member member) {
-        return !mUnreachable.contains(member.domain());
+        return mSnapshot.isReachable(member);
     }
 
     /**
@@ -138,7 +131,7 @@
      * @return unreachable domains
      */
     public Set<Identity> unreachableDomains() {
-        return mUnreachable;
+        return mSnapshot.unreachableDomains();
     }
 
     /**
@@ -148,8 +141,7 @@
      * @return its address, if known
      */
     public Optional<PeerAddress> addressOf(Identity host) {
-        Optional<PeerAddress> own = member(host).map(Member::address);
-        return own.isPresent() ? own : Optional.ofNullable(mListedAddresses.get(host));
+        return mSnapshot.addressOf(host);
     }
 
     /**
@@ -167,7 +159,7 @@
             if (mState.self().state() != MemberState.LEAVING) {
                 mState.updateSelf(MemberState.LEAVING, mState.self().incarnation());
                 broadcastRepeatedly(new News(List.of(mState.self()), List.of(), List.of()));
-                refreshView();
+                mSnapshot.refresh(mState);
             }
         }
     }
@@ -226,8 +218,8 @@
             } else {
                 join();
             }
-            mUnreachable = Set.copyOf(mState.unreachableDomains());
-            refreshView();
+            mSnapshot.setUnreachable(mState.unreachableDomains());
+            mSnapshot.refresh(mState);
             scheduleStep(period);
             if (!isDirectoryDue(nowNs)) {
                 return;
@@ -265,24 +257,16 @@
                 return;
             }
             mDirectoryKnown = true;
-            mListedAddresses = addresses(hosts);
+            mSnapshot.setListed(hosts);
             News fresh = mHosts.onRead(hosts);
             if (!fresh.isEmpty()) {
                 broadcastRepeatedly(fresh);
             }
             join();
-            refreshView();
+            mSnapshot.refresh(mState);
         }
     }
 
-    private static Map<Identity, PeerAddress> addresses(List<ListedHost> hosts) {
-        Map<Identity, PeerAddress> addresses = new HashMap<>();
-        for (ListedHost listed : hosts) {
-            listed.address().ifPresent(address -> addresses.put(listed.host(), address));
-        }
-        return Map.copyOf(addresses);
-    }
-
     /** Introduces this daemon to listed daemons of its domain that it does not know alive. */
     private void join() {
         List<Identity> contacts = new ArrayList<>(mHosts.daemonsOf(mState.ownDomain()));
@@ -317,7 +301,7 @@
                 mState.rebut(from);
             }
             dispatch(from, (MemberMessage) message);
-            refreshView();
+            mSnapshot.refresh(mState);
         }
     }
 
@@ -391,15 +375,4 @@
             }
         }
     }
-
-    private void refreshView() {
-        mSelf = mState.self();
-        if (mViewVersion != mState.table().version()) {
-            mViewVersion = mState.table().version();
-            mView = List.copyOf(mState.table().live());
-            Map<Identity, Member> byHost = new HashMap<>();
-            mView.forEach(member -> byHost.put(member.host(), member));
-            mViewByHost = byHost;
-        }
-    }
 }
