--- a/core/src/main/java/org/amaranthpick/core/request/Attempt.java
+++ b/core/src/main/java/org/amaranthpick/core/request/Attempt.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.amaranthpick.core.route.Chain;
 import org.amaranthpick.core.route.ChainFeedback;
+import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.core.upstream.UpstreamStream;
 
 /** One attempt of a model request. Confined to the request's event queue. */
@@ -13,6 +14,7 @@
     private final ChainFeedback mFeedback;
     private final long mStartedNs;
     private UpstreamStream mStream = new NoStream();
+    private Cancellable mWatch = () -> {};
     private long mProgressNs;
     private boolean mFirstTokenSeen;
     private boolean mEnded;
@@ -89,8 +91,19 @@
         return limit.minusNanos(nowNs - mProgressNs);
     }
 
+    /**
+     * Replaces the timer that looks for silence.
+     *
+     * @param watch new timer
+     */
+    void setWatch(Cancellable watch) {
+        mWatch.cancel();
+        mWatch = watch;
+    }
+
     /** Ends the attempt; its feedback is told once. */
     void end() {
+        mWatch.cancel();
         if (!mEnded) {
             mEnded = true;
             mFeedback.onEnded(mChain);
--- a/core/src/main/java/org/amaranthpick/core/request/ModelExchange.java
+++ b/core/src/main/java/org/amaranthpick/core/request/ModelExchange.java
@@ -166,7 +166,11 @@
                         : FrameVerdict.LATE;
         frames().count(verdict);
         if (verdict == FrameVerdict.ACCEPTED) {
+            boolean first = !attempt.firstTokenSeen();
             attempt.onToken(parts().scheduler().monotonicNs());
+            if (first) {
+                watch(attempt);
+            }
             emitReady();
         } else if (verdict == FrameVerdict.WRONG_TRACE) {
             Identity stage = LayerTrace.faultyStage(attempt.chain(), frame.trace());
@@ -294,7 +298,7 @@
             onSilence(attempt);
             return;
         }
-        var unused = parts().scheduler().schedule(left, () -> post(() -> watch(attempt)));
+        attempt.setWatch(parts().scheduler().schedule(left, () -> post(() -> watch(attempt))));
     }
 
     private void onSilence(Attempt attempt) {
--- a/core/src/main/java/org/amaranthpick/core/request/RequestSettings.java
+++ b/core/src/main/java/org/amaranthpick/core/request/RequestSettings.java
@@ -35,7 +35,7 @@
         return new RequestSettings(
                 Duration.ofMillis(1500),
                 Duration.ofMillis(1500),
-                3,
+                2,
                 4,
                 Duration.ofSeconds(60),
                 1024,
--- a/core/src/test/java/org/amaranthpick/core/request/RequestFixture.java
+++ b/core/src/test/java/org/amaranthpick/core/request/RequestFixture.java
@@ -42,12 +42,12 @@
 /** One router over fakes on virtual time. */
 final class RequestFixture {
     static final Instant START = Instant.parse("2026-01-04T20:00:00Z");
-    static final Duration PREDICTED = Duration.ofMillis(30);
     private static final Identity DOMAIN = id(ResourceKind.DOMAIN, "d");
     private static final List<String> FIRST = List.of("a0", "a1", "a2");
     private static final List<String> SECOND = List.of("b0", "b1", "b2");
 
     final VirtualScheduler mScheduler;
+    Duration mPredicted = Duration.ofMillis(30);
     final FakeUpstreams mUpstreams;
     final Invariants mInvariants;
     final DecisionTrail mTrail;
@@ -197,7 +197,7 @@
             return new ChainDecision.NoChain("no stage left", Optional.empty());
         }
         Chain chain = new Chain(mModel.id(), List.of(first.get(), second.get()));
-        return new ChainDecision.Chosen(chain, PREDICTED, List.of());
+        return new ChainDecision.Chosen(chain, mPredicted, List.of());
     }
 
     private static Optional<Hop> hop(ChainRequest request, List<String> names, LayerRange layers) {
--- a/core/src/test/java/org/amaranthpick/core/request/RequestLifeTest.java
+++ b/core/src/test/java/org/amaranthpick/core/request/RequestLifeTest.java
@@ -81,6 +81,18 @@
         assertEquals(RequestFixture.wholeText("r"), mSink.text());
     }
 
+    @ParameterizedTest
+    @EnumSource(
+            value = Step.class,
+            names = {"MID_STREAM", "LAST_TOKEN"})
+    void slowPrefillIsWaitedForButDoesNotDelayTheWatchOverTokens(Step step) {
+        mFixture.mPredicted = Duration.ofSeconds(5);
+        failFirstAttempt(step, Fault.SILENCE);
+        submit(true, Optional.empty());
+        advance(FakeUpstreams.TOKEN_TIME.multipliedBy(FakeUpstreams.TOKENS).plus(DETECTION));
+        assertEquals(2, mFixture.mUpstreams.calls().size());
+    }
+
     @Test
     void secondSilenceLeavesOutTheStageThatBothChainsShare() {
         mFixture.mUpstreams.script(
