--- a/core/src/test/java/org/amaranthpick/core/config/FaultyStore.java
+++ b/core/src/test/java/org/amaranthpick/core/config/FaultyStore.java
@@ -22,6 +22,7 @@
     int mLoseAnswersAfterWrite;
     int mLoseRequests;
     Runnable mBeforeRootWrite = () -> {};
+    Runnable mBeforeDelete = () -> {};
     long mCalls;
     long mWrites;
 
@@ -76,6 +77,9 @@
 
     @Override
     public CompletionStage<WriteResult> delete(String key, long version) {
+        Runnable before = mBeforeDelete;
+        mBeforeDelete = () -> {};
+        before.run();
         return mDown
                 ? later(new WriteResult.Unavailable("down"))
                 : delayed(mStore.delete(key, version));
@@ -115,9 +119,10 @@
         return future;
     }
 
-    /** Drops the events of a watch while it is cut or silent. */
+    /** Silences a watch for good once an event was lost. */
     private final class Filter implements WatchListener {
         private final WatchListener mListener;
+        private boolean mSilenced;
 
         Filter(WatchListener listener) {
             mListener = listener;
@@ -127,7 +132,8 @@
             mScheduler.schedule(
                     mDelay,
                     () -> {
-                        if (!mDown && !mSilent) {
+                        mSilenced |= mDown || mSilent;
+                        if (!mSilenced) {
                             event.run();
                         }
                     });
--- a/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
@@ -1,7 +1,8 @@
 package org.amaranthpick.server.daemon;
 
+import java.io.IOException;
+import org.amaranthpick.core.board.Controller;
 import org.amaranthpick.core.claim.ClaimSettings;
-import org.amaranthpick.core.claim.Claims;
 import org.amaranthpick.core.claim.JournalClaims;
 import org.amaranthpick.core.config.ConfigurationInForce;
 import org.amaranthpick.core.config.ConfigurationService;
@@ -11,11 +12,18 @@
 import org.amaranthpick.core.member.MemberState;
 import org.amaranthpick.core.member.Membership;
 import org.amaranthpick.core.member.MembershipSettings;
-import org.amaranthpick.core.observe.UpstreamPoller;
+import org.amaranthpick.core.observe.DigestSettings;
+import org.amaranthpick.core.observe.Observation;
+import org.amaranthpick.core.observe.PrefixIndex;
 import org.amaranthpick.core.peer.PeerNetwork;
 import org.amaranthpick.core.placement.PlacementContext;
 import org.amaranthpick.core.placement.PlacementService;
 import org.amaranthpick.core.placement.PlacementSettings;
+import org.amaranthpick.core.retry.CappedOutlierEjection;
+import org.amaranthpick.core.retry.OutlierEjection;
+import org.amaranthpick.core.retry.RampSlowStart;
+import org.amaranthpick.core.retry.SlowStart;
+import org.amaranthpick.server.peer.PeerCounters;
 
 /** Control jobs of a daemon: membership, configuration, observation, claims, placement. */
 final class ControlPlane implements AutoCloseable {
@@ -24,16 +32,22 @@
     private static final int CONFIGURATION_RANDOM = 4;
     private static final int MEMBERSHIP_RANDOM = 5;
 
+    private final PeerAccess mPeers;
     private final ConfigurationInForce mInForce;
     private final ConfigurationService mConfiguration;
     private final Membership mMembers;
-    private final Claims mClaims;
+    private final JournalClaims mClaims;
     private final PlacementService mPlacement;
     private final ControlLoop mLoop;
+    private final PrefixIndex mPrefixes;
+    private final OutlierEjection mEjection;
+    private final RampSlowStart mSlowStart;
 
-    ControlPlane(Foundation base) {
-        PeerNetwork network = new SoloNetwork(base.settings().host());
+    ControlPlane(Foundation base) throws IOException {
+        mPeers = new PeerAccess(base);
+        PeerNetwork network = mPeers.transport();
         mMembers = membership(base, network);
+        mPeers.findAddressesBy(mMembers::addressOf);
         mInForce = new ConfigurationInForce(base.invariants(), base.decisions());
         ConfigurationStore stored =
                 new ConfigurationStore(base.store(), base.scheduler(), base.tokens());
@@ -57,13 +71,26 @@
                         base.decisions());
         mPlacement = new PlacementService(placement(base, network));
         mLoop = new ControlLoop(base.controlScheduler(), base.random(LOOP_RANDOM));
-        mLoop.add(
-                new UpstreamPoller(
-                        base.board(),
+        Observation observation =
+                new Observation(
+                        new Observation.Context(
+                                base.board(),
+                                mInForce,
+                                mMembers,
+                                base.upstreams(),
+                                network,
+                                base.controlScheduler(),
+                                DigestSettings.DEFAULT));
+        mPrefixes = observation.prefixes();
+        observation.controllers().forEach(mLoop::add);
+        mEjection =
+                new CappedOutlierEjection(
+                        CappedOutlierEjection.Settings.DEFAULT,
                         mInForce,
-                        mMembers,
-                        base.upstreams(),
-                        base.controlScheduler()));
+                        base.scheduler(),
+                        base.decisions());
+        mSlowStart = new RampSlowStart(base.board(), base.scheduler());
+        mLoop.add(mSlowStart);
         mLoop.add(mPlacement);
     }
 
@@ -80,11 +107,41 @@
         return mConfiguration;
     }
 
+    PeerNetwork network() {
+        return mPeers.transport();
+    }
+
+    PeerCounters peerCounters() {
+        return mPeers.transport().counters();
+    }
+
     Membership members() {
         return mMembers;
     }
 
-    Claims claims() {
+    /** Counts the control shards that this daemon owns. */
+    int leases() {
+        return mPlacement.leases().size();
+    }
+
+    /** Runs one more control job. */
+    void run(Controller controller) {
+        mLoop.add(controller);
+    }
+
+    PrefixIndex prefixes() {
+        return mPrefixes;
+    }
+
+    OutlierEjection ejection() {
+        return mEjection;
+    }
+
+    SlowStart slowStart() {
+        return mSlowStart;
+    }
+
+    JournalClaims claims() {
         return mClaims;
     }
 
@@ -94,6 +151,7 @@
         mPlacement.close();
         mConfiguration.close();
         mMembers.close();
+        mPeers.close();
     }
 
     private static Membership membership(Foundation base, PeerNetwork network) {
--- a/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamClientTest.java
+++ b/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamClientTest.java
@@ -7,11 +7,13 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.amaranthpick.core.manifest.LayerRange;
 import org.amaranthpick.core.upstream.StreamEnd;
 import org.amaranthpick.core.upstream.UpstreamStream;
+import org.amaranthpick.server.Await;
 import org.amaranthpick.server.EngineChain;
 import org.amaranthpick.server.Workers;
 import org.amaranthpick.server.http.ConnectorSettings;
@@ -34,7 +36,8 @@
                     Duration.ofSeconds(5),
                     Duration.ofSeconds(5),
                     1024,
-                    64 * 1024);
+                    64 * 1024,
+                    Optional.of("order-token"));
 
     private final XnioWorker mWorker = Workers.start();
     private final SystemScheduler mScheduler = new SystemScheduler("test-timer");
@@ -182,9 +185,7 @@
         listener.awaitFirstToken();
         stream.cancel();
         assertInstanceOf(StreamEnd.StageLost.class, listener.await());
-        while (!mEngines.second().isCancelled("r1", 1)) {
-            Thread.onSpinWait();
-        }
+        Await.until(() -> mEngines.second().isCancelled("r1", 1), "cancel at the second stage");
     }
 
     @Test
