--- a/tools/src/main/java/org/amaranthpick/tools/demo/DemoDaemons.java
+++ b/tools/src/main/java/org/amaranthpick/tools/demo/DemoDaemons.java
@@ -15,12 +15,19 @@
 import org.amaranthpick.tools.ExitCode;
 
 /** Daemons of the demo, all in this process, spread over both fleets' hosts. */
-final class DemoDaemons implements AutoCloseable {
-    static final String OPERATOR_TOKEN = "demo-operator-token";
+public final class DemoDaemons implements AutoCloseable {
+    /** Credential of operators. */
+    public static final String OPERATOR_TOKEN = "demo-operator-token";
 
     private final List<Daemon> mDaemons = new ArrayList<>();
 
-    DemoDaemons(URI store, int count) {
+    /**
+     * Starts daemons.
+     *
+     * @param store address of the store
+     * @param count number of daemons
+     */
+    public DemoDaemons(URI store, int count) {
         List<Integer> peerPorts = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             peerPorts.add(freePort());
@@ -30,15 +37,32 @@
         }
     }
 
-    List<Daemon> all() {
+    /**
+     * Returns the daemons.
+     *
+     * @return daemons, the first one first
+     */
+    public List<Daemon> all() {
         return mDaemons;
     }
 
-    URI callers(int index) {
+    /**
+     * Returns where a daemon takes callers.
+     *
+     * @param index number of the daemon, from 0
+     * @return address
+     */
+    public URI callers(int index) {
         return address(mDaemons.get(index).callerAddress().getPort());
     }
 
-    URI operators(int index) {
+    /**
+     * Returns where a daemon takes operators.
+     *
+     * @param index number of the daemon, from 0
+     * @return address
+     */
+    public URI operators(int index) {
         return address(mDaemons.get(index).operatorAddress().getPort());
     }
 
--- a/tools/src/main/java/org/amaranthpick/tools/demo/DemoFleet.java
+++ b/tools/src/main/java/org/amaranthpick/tools/demo/DemoFleet.java
@@ -31,21 +31,22 @@
  * engine-1} to {@code engine-4}, model version {@code planner-1}, pipeline {@code assistant},
  * workspace {@code desk}, service {@code bookings}.
  */
-final class DemoFleet implements AutoCloseable {
+public final class DemoFleet implements AutoCloseable {
     static final String PIPELINE = "assistant";
     static final String SERVICE = "bookings";
 
     private static final int LAYERS = 4;
     private static final int ENGINES = 4;
     private static final long GIBIBYTE = 1L << 30;
-    private static final Duration TOKEN_DELAY = Duration.ofMillis(5);
 
     private final String mName;
+    private final Duration mTokenDelay;
     private final Map<Identity, EngineStandIn> mEngines = new TreeMap<>();
     private final ServiceStandIn mService = new ServiceStandIn();
 
-    DemoFleet(String name) {
+    DemoFleet(String name, Duration tokenDelay) {
         mName = name;
+        mTokenDelay = tokenDelay;
         EngineFabric fabric = new EngineFabric();
         for (int i = 1; i <= ENGINES; i++) {
             Identity engine = id(ResourceKind.UPSTREAM, "engine-" + i);
@@ -53,19 +54,39 @@
         }
     }
 
-    String name() {
+    /**
+     * Returns the name of the fleet.
+     *
+     * @return name
+     */
+    public String name() {
         return mName;
     }
 
-    String credential() {
+    /**
+     * Returns the credential of the workspace {@code desk}.
+     *
+     * @return bearer credential
+     */
+    public String credential() {
         return mName + "-desk-credential";
     }
 
-    Identity modelVersion() {
+    /**
+     * Returns the model version.
+     *
+     * @return identity of kind MODEL_VERSION
+     */
+    public Identity modelVersion() {
         return id(ResourceKind.MODEL_VERSION, "planner-1");
     }
 
-    Map<Identity, EngineStandIn> engines() {
+    /**
+     * Returns the engines.
+     *
+     * @return stand-ins by upstream
+     */
+    public Map<Identity, EngineStandIn> engines() {
         return mEngines;
     }
 
@@ -81,7 +102,12 @@
         return new LinkSpec(domainId(), domainId(), Duration.ofNanos(200_000), 10L * GIBIBYTE);
     }
 
-    ModelVersionSpec model() {
+    /**
+     * Returns the model version as the manifest has it.
+     *
+     * @return model version
+     */
+    public ModelVersionSpec model() {
         return new ModelVersionSpec(modelVersion(), LAYERS, GIBIBYTE, 16_384, 8_192);
     }
 
@@ -151,7 +177,7 @@
         return new EngineOptions(
                 engine.key(),
                 List.of(holding(number)),
-                TOKEN_DELAY,
+                mTokenDelay,
                 Duration.ofMillis(500),
                 Duration.ofMillis(200),
                 14 * GIBIBYTE,
--- a/tools/src/main/java/org/amaranthpick/tools/demo/DemoPlatform.java
+++ b/tools/src/main/java/org/amaranthpick/tools/demo/DemoPlatform.java
@@ -1,23 +1,50 @@
 package org.amaranthpick.tools.demo;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
 import org.amaranthpick.core.manifest.Manifest;
 import org.amaranthpick.core.manifest.ManifestWriter;
+import org.amaranthpick.core.manifest.UpstreamSpec;
 import org.amaranthpick.standins.StoreStandIn;
 
 /** Both fleets of stand-ins and the stand-in of the platform's store. */
-final class DemoPlatform implements AutoCloseable {
+public final class DemoPlatform implements AutoCloseable {
+    private static final Duration TOKEN_DELAY = Duration.ofMillis(5);
+
     private final StoreStandIn mStore = new StoreStandIn();
-    private final List<DemoFleet> mFleets =
-            List.of(new DemoFleet("kenanga"), new DemoFleet("viseu"));
+    private final List<DemoFleet> mFleets;
+
+    /** Starts every stand-in, with a pace of tokens that can be watched. */
+    public DemoPlatform() {
+        this(TOKEN_DELAY);
+    }
+
+    /**
+     * Starts every stand-in.
+     *
+     * @param tokenDelay time that each token takes in each stage
+     */
+    public DemoPlatform(Duration tokenDelay) {
+        mFleets = List.of(new DemoFleet("kenanga", tokenDelay), new DemoFleet("viseu", tokenDelay));
+    }
 
-    StoreStandIn store() {
+    /**
+     * Returns the store.
+     *
+     * @return stand-in of the platform's object API
+     */
+    public StoreStandIn store() {
         return mStore;
     }
 
-    List<DemoFleet> fleets() {
+    /**
+     * Returns the fleets.
+     *
+     * @return both fleets
+     */
+    public List<DemoFleet> fleets() {
         return mFleets;
     }
 
@@ -26,7 +53,7 @@
      *
      * @return manifest as JSON
      */
-    String manifest() {
+    public String manifest() {
         return ManifestWriter.write(
                 new Manifest(
                         mFleets.stream().map(DemoFleet::name).toList(),
@@ -52,8 +79,8 @@
         return mFleets.stream().map(part).toList();
     }
 
-    private List<org.amaranthpick.core.manifest.UpstreamSpec> upstreams() {
-        List<org.amaranthpick.core.manifest.UpstreamSpec> all = new ArrayList<>();
+    private List<UpstreamSpec> upstreams() {
+        List<UpstreamSpec> all = new ArrayList<>();
         mFleets.forEach(fleet -> all.addAll(fleet.upstreams()));
         return all;
     }
--- a/tools/src/main/java/org/amaranthpick/tools/demo/DemoSetup.java
+++ b/tools/src/main/java/org/amaranthpick/tools/demo/DemoSetup.java
@@ -18,13 +18,20 @@
 import org.amaranthpick.tools.client.CommandClient;
 
 /** Steps before a demo or soak: manifest accepted, daemons ready. */
-final class DemoSetup {
+public final class DemoSetup {
     private static final Duration WAIT = Duration.ofSeconds(20);
     private static final Duration PAUSE = Duration.ofMillis(10);
 
     private DemoSetup() {}
 
-    static void apply(DemoPlatform platform, CommandClient client, PrintStream out) {
+    /**
+     * Applies the manifest of the stand-ins.
+     *
+     * @param platform stand-ins
+     * @param client client
+     * @param out takes the result
+     */
+    public static void apply(DemoPlatform platform, CommandClient client, PrintStream out) {
         ManifestResult loaded = ManifestLoader.load(platform.manifest());
         if (!(loaded instanceof ManifestResult.Valid valid)) {
             throw new CommandException(ExitCode.REFUSED, "the demo's manifest: " + loaded);
@@ -47,7 +54,12 @@
         }
     }
 
-    static void awaitReady(DemoDaemons daemons) {
+    /**
+     * Waits until every daemon is ready.
+     *
+     * @param daemons daemons
+     */
+    public static void awaitReady(DemoDaemons daemons) {
         long endNs = System.nanoTime() + WAIT.toNanos();
         while (!daemons.all().stream().allMatch(daemon -> daemon.notReady().isEmpty())) {
             if (System.nanoTime() > endNs) {
