--- a/bench/src/main/java/org/amaranthpick/bench/PeerTransportCost.java
+++ b/bench/src/main/java/org/amaranthpick/bench/PeerTransportCost.java
@@ -4,8 +4,11 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.amaranthpick.core.member.PeerAddress;
 import org.amaranthpick.core.name.Identity;
@@ -27,6 +30,7 @@
     private static final int TAG = 1;
     private static final int WARM_UP_CONNECTIONS = 300;
     private static final int CONNECTIONS = 1000;
+    private static final int DAEMONS = 400;
 
     private final SystemScheduler mScheduler = new SystemScheduler("measured-timer");
     private final XnioWorker mSenderWorker = worker("measured-sender");
@@ -72,6 +76,7 @@
         }
         cost.connections(WARM_UP_CONNECTIONS);
         cost.connections(CONNECTIONS);
+        cost.memory();
         cost.close();
     }
 
@@ -121,6 +126,37 @@
                 (receiver.usedNs() - receivedNs) / 1000.0 / count);
     }
 
+    /** Opens connections from many daemons to one and compares the heap before and after. */
+    private void memory() throws IOException, InterruptedException {
+        int port = mReceiver.address().getPort();
+        List<PeerTransport> daemons = new ArrayList<>();
+        for (int i = 0; i < DAEMONS; i++) {
+            daemons.add(transport("d" + i, mSenderWorker, port));
+        }
+        long before = usedHeapBytes();
+        mArrived.drainPermits();
+        for (PeerTransport daemon : daemons) {
+            daemon.send(host("b"), new Payload(new byte[1]));
+        }
+        if (!mArrived.tryAcquire(DAEMONS, 10, TimeUnit.SECONDS)) {
+            throw new IllegalStateException(
+                    "only " + mArrived.availablePermits() + " of " + DAEMONS + " messages came");
+        }
+        long after = usedHeapBytes();
+        System.out.printf(
+                "open connections: %d, heap of both ends together %.1f KB each%n",
+                DAEMONS, (after - before) / 1024.0 / DAEMONS);
+        daemons.forEach(PeerTransport::close);
+    }
+
+    private static long usedHeapBytes() {
+        Runtime runtime = Runtime.getRuntime();
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
     private long wireBytes() {
         return mSender.counters().get(PeerCounters.Event.BYTES_SENT)
                 + mSender.counters().get(PeerCounters.Event.BYTES_RECEIVED);
--- a/server/src/main/java/org/amaranthpick/server/peer/PeerSettings.java
+++ b/server/src/main/java/org/amaranthpick/server/peer/PeerSettings.java
@@ -30,7 +30,7 @@
     private static final PeerSettings DEFAULTS =
             new PeerSettings(
                     Duration.ofSeconds(1),
-                    64,
+                    512,
                     Duration.ofSeconds(2),
                     Duration.ofSeconds(1),
                     Duration.ofSeconds(30),
--- a/server/src/main/java/org/amaranthpick/server/peer/PeerTransport.java
+++ b/server/src/main/java/org/amaranthpick/server/peer/PeerTransport.java
@@ -28,8 +28,16 @@
  */
 public final class PeerTransport implements PeerNetwork, AutoCloseable {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    /** Connections that may wait to be accepted: all daemons may open theirs at once. */
+    private static final int BACKLOG = 1024;
+
     private static final OptionMap ACCEPT_OPTIONS =
-            OptionMap.create(Options.TCP_NODELAY, true, Options.REUSE_ADDRESSES, true);
+            OptionMap.builder()
+                    .set(Options.TCP_NODELAY, true)
+                    .set(Options.REUSE_ADDRESSES, true)
+                    .set(Options.BACKLOG, BACKLOG)
+                    .getMap();
 
     private final PeerContext mContext;
     private final FrameCodec mCodec;
--- a/server/src/test/java/org/amaranthpick/server/peer/PeerTransportTest.java
+++ b/server/src/test/java/org/amaranthpick/server/peer/PeerTransportTest.java
@@ -5,8 +5,12 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.amaranthpick.server.Await;
 import org.amaranthpick.server.Workers;
 import org.amaranthpick.server.peer.PeerCounters.Event;
@@ -20,6 +24,7 @@
 /** Links between daemons: delivery, keys, replacement of silent connections. */
 class PeerTransportTest {
     private static final int MAX_SENDS = 3000;
+    private static final int DAEMONS = 439;
 
     static final PeerSettings SETTINGS =
             new PeerSettings(
@@ -120,6 +125,43 @@
         return expected ? Optional.of(peer.next()) : peer.poll();
     }
 
+    @Test
+    void allDaemonsMayConnectAtOnce() throws InterruptedException {
+        List<TestPeer> daemons = new ArrayList<>();
+        PeerSettings settings = withConnectTimeout(Duration.ofSeconds(20));
+        PeerKeys keys = new PeerKeys(key('k'), Optional.empty());
+        try (TestPeer b = new TestPeer("b", keys, settings, mWorker, mScheduler)) {
+            for (int i = 0; i < DAEMONS; i++) {
+                daemons.add(new TestPeer("d" + i, keys, settings, mWorker, mScheduler));
+                daemons.get(i).knows(b);
+            }
+            daemons.forEach(daemon -> daemon.send(b.host(), "back"));
+            Set<String> received = new HashSet<>();
+            for (int i = 0; i < DAEMONS; i++) {
+                received.add(b.next());
+            }
+            assertEquals(DAEMONS, received.size());
+        } finally {
+            daemons.forEach(TestPeer::close);
+        }
+    }
+
+    /** Returns the bounds of a daemon, with time enough for a slow test machine. */
+    private static PeerSettings withConnectTimeout(Duration timeout) {
+        PeerSettings d = PeerSettings.defaults();
+        return new PeerSettings(
+                timeout,
+                d.maxStrangers(),
+                d.pingAfter(),
+                d.pingTimeout(),
+                d.idleTimeout(),
+                d.backoffMin(),
+                d.backoffMax(),
+                d.maxQueuedFrames(),
+                d.maxQueuedBytes(),
+                d.maxFrameBytes());
+    }
+
     static void sendUntilReceived(TestPeer from, TestPeer to) throws InterruptedException {
         for (int i = 0; i < MAX_SENDS; i++) {
             from.send(to.host(), "again");
