--- a/tools/src/main/java/org/amaranthpick/tools/Main.java
+++ b/tools/src/main/java/org/amaranthpick/tools/Main.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.amaranthpick.tools.demo.DemoCommand;
+import org.amaranthpick.tools.demo.SoakCommand;
 import org.amaranthpick.tools.demo.StandInsCommand;
 
 /** Entry point of the program: one command class per command. */
@@ -17,11 +18,13 @@
             HelpCommand.class,
             ServeCommand.class,
             ValidateCommand.class,
+            DiffCommand.class,
             ApplyCommand.class,
             StatusCommand.class,
             ExplainCommand.class,
             DrainCommand.class,
             DemoCommand.class,
+            SoakCommand.class,
             StandInsCommand.class
         })
 public final class Main {
