Tell relays of suspicions and other domains of deaths at once

Cause: a death took up to 11.8 s to be known on 440 daemons: suspicion and death each waited for the news on heartbeats.

Change: the accuser tells the relays of its domain, whose suspicion timeout then starts; they tell the death to their domain and the relays of the others. The suspicion timeout is 3 s, was 4 s.

--- a/bench/src/main/java/org/amaranthpick/bench/ControlFleet.java
+++ b/bench/src/main/java/org/amaranthpick/bench/ControlFleet.java
@@ -77,6 +77,32 @@
         mScheduler.advance(time);
     }
 
+    /** Lets one daemon announce that it leaves. */
+    void leave(int number) {
+        if (mDaemons.get(number) instanceof Built built) {
+            built.membership().announceLeaving();
+        }
+    }
+
+    /** Stops one daemon without a word. */
+    void fail(int number) {
+        mPeers.setDown(mMembers.get(number).host(), true);
+    }
+
+    /** Counts the other daemons to which one daemon is in a state. */
+    long holding(int number, MemberState state) {
+        Identity host = mMembers.get(number).host();
+        long count = 0;
+        for (int i = 0; i < mDaemons.size(); i++) {
+            if (i != number && mDaemons.get(i) instanceof Built built) {
+                Optional<Member> held = built.membership().member(host);
+                MemberState told = held.map(Member::state).orElse(MemberState.DEAD);
+                count += told == state ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
     /** Stops the network of every tenth daemon; the others go on. */
     void failTenth() {
         for (int i = mDaemons.size() - 1; i >= 0; i--) {
--- a/bench/src/main/java/org/amaranthpick/bench/ControlScaling.java
+++ b/bench/src/main/java/org/amaranthpick/bench/ControlScaling.java
@@ -17,6 +17,7 @@
 public final class ControlScaling {
     private static final int[][] SIZES = {{12, 3}, {50, 5}, {150, 10}, {440, 10}};
     private static final Duration WARM_UP = Duration.ofSeconds(20);
+    private static final Duration SETTLE = Duration.ofSeconds(90);
     private static final int CHANGES = 10;
     private static final int WORKSPACES = 100;
     private static final int UPSTREAMS = 40;
@@ -43,7 +44,7 @@
         ControlFleet fleet = new ControlFleet(daemons, domains, baseline);
         fleet.run(WARM_UP);
         fleet.publish(manifest(1));
-        fleet.run(WARM_UP);
+        fleet.run(baseline ? WARM_UP : SETTLE);
         double heapKb = (usedBytes() - heapBefore) / 1e3 / daemons;
         Duration steady = Duration.ofSeconds(baseline ? 10 : 60);
         long callsBefore = fleet.store().calls();
--- a/core/src/main/java/org/amaranthpick/core/member/MemberMessage.java
+++ b/core/src/main/java/org/amaranthpick/core/member/MemberMessage.java
@@ -50,10 +50,20 @@
          * @return news without other changes
          */
         public News leavingOnly() {
-            return new News(
-                    members.stream().filter(m -> m.state() == MemberState.LEAVING).toList(),
-                    notices,
-                    List.of());
+            return new News(membersIn(MemberState.LEAVING), notices, List.of());
+        }
+
+        /**
+         * Returns the part that tells of dead daemons.
+         *
+         * @return news without other changes
+         */
+        public News deadOnly() {
+            return new News(membersIn(MemberState.DEAD), List.of(), List.of());
+        }
+
+        private List<Member> membersIn(MemberState state) {
+            return members.stream().filter(m -> m.state() == state).toList();
         }
     }
 
--- a/core/src/main/java/org/amaranthpick/core/member/Membership.java
+++ b/core/src/main/java/org/amaranthpick/core/member/Membership.java
@@ -348,15 +348,21 @@
     }
 
     private void onUrgentNews(Identity from, UrgentNews urgent) {
-        mState.apply(urgent.news());
+        News fresh = mState.apply(urgent.news());
         boolean outside =
                 mState.table()
                         .find(from)
                         .filter(member -> !member.domain().equals(mState.ownDomain()))
                         .isPresent();
-        News leaving = urgent.news().leavingOnly();
-        if (outside && !leaving.isEmpty()) {
-            mState.tellDomain(leaving);
+        if (outside) {
+            tellDomain(urgent.news().leavingOnly());
+            tellDomain(fresh.deadOnly());
+        }
+    }
+
+    private void tellDomain(News news) {
+        if (!news.isEmpty()) {
+            mState.tellDomain(news);
         }
     }
 
--- a/core/src/main/java/org/amaranthpick/core/member/MembershipSettings.java
+++ b/core/src/main/java/org/amaranthpick/core/member/MembershipSettings.java
@@ -29,7 +29,7 @@
             new MembershipSettings(
                     Duration.ofSeconds(1),
                     Duration.ofMillis(300),
-                    Duration.ofSeconds(4),
+                    Duration.ofSeconds(3),
                     Duration.ofSeconds(5),
                     Duration.ofSeconds(5),
                     Duration.ofMinutes(10),
--- a/core/src/main/java/org/amaranthpick/core/member/Prober.java
+++ b/core/src/main/java/org/amaranthpick/core/member/Prober.java
@@ -11,6 +11,7 @@
 import org.amaranthpick.core.member.MemberMessage.Ping;
 import org.amaranthpick.core.member.MemberMessage.ProbeReply;
 import org.amaranthpick.core.member.MemberMessage.ProbeRequest;
+import org.amaranthpick.core.member.MemberMessage.UrgentNews;
 import org.amaranthpick.core.name.Identity;
 
 /**
@@ -135,6 +136,7 @@
         MemberState state = held.get().state();
         if (state == MemberState.ALIVE) {
             tell(held.get(), MemberState.SUSPECT);
+            tellRelays(held.get().with(MemberState.SUSPECT, held.get().incarnation()));
             mState.rebut(target);
         }
         if (state == MemberState.LEAVING
@@ -144,6 +146,16 @@
         }
     }
 
+    /** Starts the suspicion timeout of those who tell the other domains of a death. */
+    private void tellRelays(Member suspect) {
+        News news = new News(List.of(suspect), List.of(), List.of());
+        for (Member relay : mState.relays(mState.ownDomain())) {
+            if (!relay.host().equals(mState.self().host())) {
+                mState.send(relay, new UrgentNews(news));
+            }
+        }
+    }
+
     private void expireSuspicions(long nowNs) {
         long limitNs = mState.settings().suspicionTimeout().toNanos();
         List<Member> dead = new ArrayList<>();
@@ -154,6 +166,11 @@
             }
         }
         dead.forEach(member -> tell(member, MemberState.DEAD));
+        if (!dead.isEmpty() && mState.isRelay()) {
+            List<Member> told =
+                    dead.stream().map(m -> m.with(MemberState.DEAD, m.incarnation())).toList();
+            mState.broadcast(new News(told, List.of(), List.of()));
+        }
     }
 
     private boolean isSuspect(Identity host) {
