--- a/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/ControlPlane.java
@@ -1,8 +1,8 @@
 package org.amaranthpick.server.daemon;
 
+import java.io.IOException;
 import org.amaranthpick.core.board.Controller;
 import org.amaranthpick.core.claim.ClaimSettings;
-import org.amaranthpick.core.claim.Claims;
 import org.amaranthpick.core.claim.JournalClaims;
 import org.amaranthpick.core.config.ConfigurationInForce;
 import org.amaranthpick.core.config.ConfigurationService;
@@ -23,6 +23,7 @@
 import org.amaranthpick.core.retry.OutlierEjection;
 import org.amaranthpick.core.retry.RampSlowStart;
 import org.amaranthpick.core.retry.SlowStart;
+import org.amaranthpick.server.peer.PeerCounters;
 
 /** Control jobs of a daemon: membership, configuration, observation, claims, placement. */
 final class ControlPlane implements AutoCloseable {
@@ -31,19 +32,22 @@
     private static final int CONFIGURATION_RANDOM = 4;
     private static final int MEMBERSHIP_RANDOM = 5;
 
+    private final PeerAccess mPeers;
     private final ConfigurationInForce mInForce;
     private final ConfigurationService mConfiguration;
     private final Membership mMembers;
-    private final Claims mClaims;
+    private final JournalClaims mClaims;
     private final PlacementService mPlacement;
     private final ControlLoop mLoop;
     private final PrefixIndex mPrefixes;
     private final OutlierEjection mEjection;
     private final RampSlowStart mSlowStart;
 
-    ControlPlane(Foundation base) {
-        PeerNetwork network = new SoloNetwork(base.settings().host());
+    ControlPlane(Foundation base) throws IOException {
+        mPeers = new PeerAccess(base);
+        PeerNetwork network = mPeers.transport();
         mMembers = membership(base, network);
+        mPeers.findAddressesBy(mMembers::addressOf);
         mInForce = new ConfigurationInForce(base.invariants(), base.decisions());
         ConfigurationStore stored =
                 new ConfigurationStore(base.store(), base.scheduler(), base.tokens());
@@ -103,10 +107,23 @@
         return mConfiguration;
     }
 
+    PeerNetwork network() {
+        return mPeers.transport();
+    }
+
+    PeerCounters peerCounters() {
+        return mPeers.transport().counters();
+    }
+
     Membership members() {
         return mMembers;
     }
 
+    /** Counts the control shards that this daemon owns. */
+    int leases() {
+        return mPlacement.leases().size();
+    }
+
     /** Runs one more control job. */
     void run(Controller controller) {
         mLoop.add(controller);
@@ -124,7 +141,7 @@
         return mSlowStart;
     }
 
-    Claims claims() {
+    JournalClaims claims() {
         return mClaims;
     }
 
@@ -134,6 +151,7 @@
         mPlacement.close();
         mConfiguration.close();
         mMembers.close();
+        mPeers.close();
     }
 
     private static Membership membership(Foundation base, PeerNetwork network) {
