Wait as told when the store throttles; compact rarely after a lost head

Cause: a throttled head was read again for nothing, and each failed head after a compaction left another orphan segment.

--- a/core/src/main/java/org/amaranthpick/core/claim/ClaimShard.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ClaimShard.java
@@ -248,6 +248,12 @@
             pump();
             return;
         }
+        if (result instanceof WriteResult.Throttled throttled) {
+            mBusy = false;
+            mNextCommitNs = mScheduler.monotonicNs() + throttled.retryAfter().toNanos();
+            pump();
+            return;
+        }
         if (result instanceof WriteResult.Unknown) {
             mCounters.onUnknown();
             work.batch().forEach(PendingOperation::onUnknownWrite);
--- a/core/src/main/java/org/amaranthpick/core/claim/JournalFile.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/JournalFile.java
@@ -24,6 +24,7 @@
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final String PREFIX = "claim:";
     private static final String HEAD = "head";
+    private static final long COMPACTION_RETRY_MS = 30_000;
 
     private final String mPath;
     private final ClaimSettings mSettings;
@@ -32,6 +33,7 @@
     private final ClaimCounters mCounters;
     private final Map<String, SealedSegment> mSegments = new HashMap<>();
     private WriteCondition mHeadCondition = new WriteCondition.Absent();
+    private long mCompactAfterMs;
 
     JournalFile(
             String path,
@@ -65,10 +67,14 @@
      * @return completes with the result of the head's write
      */
     CompletionStage<WriteResult> store(ClaimJournal next, long nowMs) {
-        Optional<Compaction> compaction = Compaction.plan(next, mSettings, nowMs);
+        Optional<Compaction> compaction =
+                nowMs < mCompactAfterMs
+                        ? Optional.empty()
+                        : Compaction.plan(next, mSettings, nowMs);
         if (compaction.isEmpty()) {
             return writeHead(next);
         }
+        mCompactAfterMs = nowMs + COMPACTION_RETRY_MS;
         String name = "segment-" + mTokens.next();
         byte[] bytes = compaction.get().bytes();
         mCounters.onWrite(bytes.length);
@@ -79,7 +85,18 @@
                                 compaction.get().apply(next, name);
                             }
                             return writeHead(next);
-                        });
+                        })
+                .thenApply(this::onCompacted);
+    }
+
+    /**
+     * After a lost head the segment written for it is an orphan; the next one is not written soon.
+     */
+    private WriteResult onCompacted(WriteResult result) {
+        if (result instanceof WriteResult.Applied) {
+            mCompactAfterMs = 0;
+        }
+        return result;
     }
 
     /** Forgets the segments, so that they are read again when next needed. */
--- a/core/src/main/java/org/amaranthpick/core/request/Exchange.java
+++ b/core/src/main/java/org/amaranthpick/core/request/Exchange.java
@@ -9,9 +9,7 @@
 import org.amaranthpick.core.admit.AdmissionRequest;
 import org.amaranthpick.core.admit.Permit;
 import org.amaranthpick.core.claim.ClaimAnswer;
-import org.amaranthpick.core.claim.ClaimKey;
 import org.amaranthpick.core.claim.ClaimResult;
-import org.amaranthpick.core.claim.ClaimTicket;
 import org.amaranthpick.core.explain.DecisionKind;
 import org.amaranthpick.core.invariant.Invariant;
 import org.amaranthpick.core.name.Identity;
@@ -30,6 +28,7 @@
     private final ExchangeOwner mOwner;
     private final ExchangeTerms mTerms;
     private final SerialQueue mQueue;
+    private final KeyClaim mClaim;
     private final AttemptHistory mHistory = new AttemptHistory();
     private final Set<Identity> mExcluded = new HashSet<>(1);
     private Phase mPhase = new Phase.Fresh();
@@ -37,7 +36,6 @@
     private Cancellable mAdmission = () -> {};
     private Cancellable mDeadlineTimer = () -> {};
     private Optional<Permit> mPermit = Optional.empty();
-    private Optional<ClaimTicket> mTicket = Optional.empty();
     private boolean mCallerGone;
 
     Exchange(ExchangeOwner owner, ExchangeTerms terms) {
@@ -45,6 +43,7 @@
         mSettings = owner.settings();
         mOwner = owner;
         mTerms = terms;
+        mClaim = new KeyClaim(owner, terms);
         mQueue = new SerialQueue(this::onEventFailure);
     }
 
@@ -256,7 +255,7 @@
         if (!enterEnd(outcome)) {
             return;
         }
-        settleClaim(outcome);
+        mClaim.settle(outcome, this::answerToKeep);
         record(DecisionKind.OUTCOME, Outcomes.describe(outcome));
         try {
             deliver(outcome);
@@ -270,7 +269,7 @@
      * with the key gets its answer.
      */
     private void onCallerGone() {
-        if (!hasEnded() && mTicket.isPresent() && mHistory.mayHaveRun() && !mCallerGone) {
+        if (!hasEnded() && mClaim.isHeld() && mHistory.mayHaveRun() && !mCallerGone) {
             mCallerGone = true;
             record(DecisionKind.OUTCOME, "the caller went away; runs on for its key");
             detachCaller(Outcomes.interrupted(CALLER_GONE, mayRepeat(), tokensEmitted()));
@@ -312,39 +311,30 @@
         }
         mPermit = Optional.of(permit);
         record(DecisionKind.ADMISSION, "admitted");
-        if (mTerms.idempotent() || mTerms.idempotencyKey().isEmpty()) {
+        if (!mClaim.isNeeded()) {
             run();
             return;
         }
         mPhase = new Phase.Claiming();
-        ClaimKey key = new ClaimKey(mTerms.workspace().id(), mTerms.idempotencyKey().get());
-        var unused =
-                mParts.claims()
-                        .claim(key, mTerms.requestId(), bodyDigest())
-                        .whenComplete((result, error) -> post(() -> onClaim(result, error)));
-    }
-
-    private void onClaim(ClaimResult result, Throwable error) {
-        ClaimResult known = error == null ? result : new ClaimResult.Unavailable(error.toString());
-        if (known instanceof ClaimResult.Granted granted) {
-            onGranted(granted.ticket());
-        } else if (known instanceof ClaimResult.Kept kept && !hasEnded()) {
-            record(DecisionKind.CLAIM, "not granted: an earlier request was answered");
-            finishKept(kept.answer());
-        } else if (!hasEnded()) {
-            record(DecisionKind.CLAIM, "not granted: " + known);
-            finish(Outcomes.notGranted(known, mSettings.retryAfter()));
-        }
+        mClaim.ask(bodyDigest(), result -> post(() -> onClaim(result)));
     }
 
-    private void onGranted(ClaimTicket ticket) {
-        if (hasEnded()) {
-            mOwner.settle(mParts.claims().release(ticket));
+    private void onClaim(ClaimResult result) {
+        if (result instanceof ClaimResult.Granted granted && hasEnded()) {
+            mClaim.giveBack(granted.ticket());
+        } else if (hasEnded()) {
             return;
+        } else if (result instanceof ClaimResult.Granted granted) {
+            mClaim.hold(granted.ticket());
+            record(DecisionKind.CLAIM, "granted");
+            run();
+        } else if (result instanceof ClaimResult.Kept kept) {
+            record(DecisionKind.CLAIM, "not granted: an earlier request was answered");
+            finishKept(kept.answer());
+        } else {
+            record(DecisionKind.CLAIM, "not granted: " + result);
+            finish(Outcomes.notGranted(result, mSettings.retryAfter()));
         }
-        mTicket = Optional.of(ticket);
-        record(DecisionKind.CLAIM, "granted");
-        run();
     }
 
     private void finishKept(ClaimAnswer answer) {
@@ -402,21 +392,6 @@
         permit.close();
     }
 
-    private void settleClaim(Outcome outcome) {
-        if (mTicket.isEmpty()) {
-            return;
-        }
-        ClaimTicket ticket = mTicket.get();
-        Optional<ClaimAnswer> answer = answerToKeep();
-        if (outcome instanceof Outcome.NotRun) {
-            mOwner.settle(mParts.claims().release(ticket));
-        } else if (answer.isPresent()) {
-            mOwner.settle(mParts.claims().done(ticket, answer.get()));
-        } else {
-            mOwner.settle(mParts.claims().lost(ticket));
-        }
-    }
-
     private void onEventFailure(RuntimeException e) {
         String message = "internal failure: " + e;
         post(() -> giveUp(RefusalReason.UPSTREAM_REFUSED, message, Optional.empty()));
