--- a/core/src/main/java/org/amaranthpick/core/member/Membership.java
+++ b/core/src/main/java/org/amaranthpick/core/member/Membership.java
@@ -43,15 +43,12 @@
     private final Prober mProber;
     private final DomainLinks mLinks;
     private final TableSync mSync;
+    private final MemberSnapshot mSnapshot;
     private Optional<Cancellable> mTimer = Optional.empty();
     private long mLastStepNs;
     private long mDirectoryReadNs;
     private boolean mDirectoryKnown;
     private boolean mClosed;
-    private long mViewVersion = -1;
-    private volatile List<Member> mView = List.of();
-    private volatile Member mSelf;
-    private volatile Set<Identity> mUnreachable = Set.of();
 
     /**
      * Creates the membership; it does nothing before {@link #start()}.
@@ -80,8 +77,8 @@
         mProber = new Prober(mState, random);
         mLinks = new DomainLinks(mState, mHosts, random);
         mSync = new TableSync(mState);
-        mSelf = self;
-        refreshView();
+        mSnapshot = new MemberSnapshot(self);
+        mSnapshot.refresh(mState);
     }
 
     /** Registers the message handlers, reads the host list and starts probing. */
@@ -110,22 +107,22 @@
 
     @Override
     public Member self() {
-        return mSelf;
+        return mSnapshot.self();
     }
 
     @Override
     public List<Member> members() {
-        return mView;
+        return mSnapshot.members();
     }
 
     @Override
     public Optional<Member> member(Identity host) {
-        for (Member member : mView) {
-            if (member.host().equals(host)) {
-                return Optional.of(member);
-            }
-        }
-        return Optional.empty();
+        return mSnapshot.member(host);
+    }
+
+    @Override
+    public boolean isReachable(Member member) {
+        return mSnapshot.isReachable(member);
     }
 
     /**
@@ -134,20 +131,17 @@
      * @return unreachable domains
      */
     public Set<Identity> unreachableDomains() {
-        return mUnreachable;
+        return mSnapshot.unreachableDomains();
     }
 
     /**
-     * Finds the peer address of a daemon, also of one known from the host list only.
+     * Finds the peer address of a daemon, also of one known from the host list only. Never waits.
      *
      * @param host identity of kind HOST
      * @return its address, if known
      */
     public Optional<PeerAddress> addressOf(Identity host) {
-        synchronized (mLock) {
-            Optional<PeerAddress> own = mState.table().find(host).map(Member::address);
-            return own.isPresent() ? own : mHosts.find(host).flatMap(ListedHost::address);
-        }
+        return mSnapshot.addressOf(host);
     }
 
     /**
@@ -165,7 +159,7 @@
             if (mState.self().state() != MemberState.LEAVING) {
                 mState.updateSelf(MemberState.LEAVING, mState.self().incarnation());
                 broadcastRepeatedly(new News(List.of(mState.self()), List.of(), List.of()));
-                refreshView();
+                mSnapshot.refresh(mState);
             }
         }
     }
@@ -224,8 +218,8 @@
             } else {
                 join();
             }
-            mUnreachable = Set.copyOf(mState.unreachableDomains());
-            refreshView();
+            mSnapshot.setUnreachable(mState.unreachableDomains());
+            mSnapshot.refresh(mState);
             scheduleStep(period);
             if (!isDirectoryDue(nowNs)) {
                 return;
@@ -263,12 +257,13 @@
                 return;
             }
             mDirectoryKnown = true;
+            mSnapshot.setListed(hosts);
             News fresh = mHosts.onRead(hosts);
             if (!fresh.isEmpty()) {
                 broadcastRepeatedly(fresh);
             }
             join();
-            refreshView();
+            mSnapshot.refresh(mState);
         }
     }
 
@@ -306,7 +301,7 @@
                 mState.rebut(from);
             }
             dispatch(from, (MemberMessage) message);
-            refreshView();
+            mSnapshot.refresh(mState);
         }
     }
 
@@ -380,12 +375,4 @@
             }
         }
     }
-
-    private void refreshView() {
-        mSelf = mState.self();
-        if (mViewVersion != mState.table().version()) {
-            mViewVersion = mState.table().version();
-            mView = List.copyOf(mState.table().live());
-        }
-    }
 }
