--- a/bench/src/main/java/org/amaranthpick/bench/CountingStore.java
+++ b/bench/src/main/java/org/amaranthpick/bench/CountingStore.java
@@ -1,10 +1,10 @@
 package org.amaranthpick.bench;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.amaranthpick.core.store.ListResult;
-import org.amaranthpick.core.store.MemoryObjectStore;
 import org.amaranthpick.core.store.ObjectStore;
 import org.amaranthpick.core.store.ReadResult;
 import org.amaranthpick.core.store.StoredObject;
@@ -14,16 +14,24 @@
 import org.amaranthpick.core.store.WriteResult;
 import org.amaranthpick.core.store.WriterToken;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.core.time.VirtualScheduler;
 
 /** Store in memory that answers after a delay on virtual time and counts calls. */
 final class CountingStore implements ObjectStore {
-    private final MemoryObjectStore mStore;
+    private final ObjectStore mStore;
     private final Scheduler mScheduler;
     private final Duration mDelay;
-    private long mCalls;
+    private long mReads;
+    private long mWrites;
+    private long mLargestBytes;
     private int mWatches;
 
-    CountingStore(MemoryObjectStore store, Scheduler scheduler, Duration delay) {
+    /** Counts the calls of a store that answers at once. */
+    CountingStore(ObjectStore store) {
+        this(store, new VirtualScheduler(Instant.EPOCH), Duration.ZERO);
+    }
+
+    CountingStore(ObjectStore store, Scheduler scheduler, Duration delay) {
         mStore = store;
         mScheduler = scheduler;
         mDelay = delay;
@@ -31,7 +39,19 @@
 
     /** Counts calls, each opened watch as one. */
     long calls() {
-        return mCalls;
+        return mReads + mWrites;
+    }
+
+    long reads() {
+        return mReads;
+    }
+
+    long writes() {
+        return mWrites;
+    }
+
+    long largestBytes() {
+        return mLargestBytes;
     }
 
     /** Counts the watches that wait now. */
@@ -41,28 +61,33 @@
 
     @Override
     public CompletionStage<ReadResult> read(String key) {
+        mReads++;
         return delayed(mStore.read(key));
     }
 
     @Override
     public CompletionStage<WriteResult> write(
             String key, WriteCondition condition, byte[] value, WriterToken writer) {
+        mWrites++;
+        mLargestBytes = Math.max(mLargestBytes, value.length);
         return delayed(mStore.write(key, condition, value, writer));
     }
 
     @Override
     public CompletionStage<WriteResult> delete(String key, long version) {
+        mWrites++;
         return delayed(mStore.delete(key, version));
     }
 
     @Override
     public CompletionStage<ListResult> list(String prefix) {
+        mReads++;
         return delayed(mStore.list(prefix));
     }
 
     @Override
     public Watch watch(String prefix, long afterRevision, WatchListener listener) {
-        mCalls++;
+        mReads++;
         mWatches++;
         Watch watch = mStore.watch(prefix, afterRevision, new DelayedListener(listener));
         return () -> {
@@ -77,7 +102,9 @@
     }
 
     private <T> CompletionStage<T> delayed(CompletionStage<T> stage) {
-        mCalls++;
+        if (mDelay.isZero()) {
+            return stage;
+        }
         T result = stage.toCompletableFuture().join();
         CompletableFuture<T> future = new CompletableFuture<>();
         mScheduler.schedule(mDelay, () -> future.complete(result));
