--- a/server/src/main/java/org/amaranthpick/server/daemon/DaemonActions.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/DaemonActions.java
@@ -77,8 +77,7 @@
                     new DaemonStatus.MemberStatus(
                             member.host().qualifiedName(),
                             member.domain().qualifiedName(),
-                            member.state().name().toLowerCase(Locale.ROOT),
-                            0));
+                            member.state().name().toLowerCase(Locale.ROOT)));
         }
         return members;
     }
--- a/server/src/main/java/org/amaranthpick/server/operator/DaemonStatus.java
+++ b/server/src/main/java/org/amaranthpick/server/operator/DaemonStatus.java
@@ -32,9 +32,8 @@
      * @param host host
      * @param domain failure domain
      * @param state state believed
-     * @param generation configuration generation told, 0 if unknown
      */
-    public record MemberStatus(String host, String domain, String state, long generation) {}
+    public record MemberStatus(String host, String domain, String state) {}
 
     /**
      * One upstream as this daemon believes it.
--- a/tools/src/main/java/org/amaranthpick/tools/StatusReport.java
+++ b/tools/src/main/java/org/amaranthpick/tools/StatusReport.java
@@ -16,13 +16,7 @@
         line(text, "violations  %d", status.invariantViolations());
         line(text, "members     %d", status.members().size());
         for (DaemonStatus.MemberStatus member : status.members()) {
-            line(
-                    text,
-                    "  %-24s %-16s %-8s generation %d",
-                    member.host(),
-                    member.domain(),
-                    member.state(),
-                    member.generation());
+            line(text, "  %-24s %-16s %s", member.host(), member.domain(), member.state());
         }
         line(text, "upstreams   %d", status.upstreams().size());
         for (DaemonStatus.UpstreamState upstream : status.upstreams()) {
