Forget unused links; share one read buffer per thread

Cause: each pool of connections to an upstream held a read buffer of 16 KB, 40 MB at 2,500 engines; and links to hosts that were replaced were never forgotten. Change: one read buffer per I/O thread; a link without messages for the idle time leaves the transport. A test of a later stage's death mid-answer. Conclusion: state grows with the peers and upstreams in use.

--- a/server/src/main/java/org/amaranthpick/server/http/HostPool.java
+++ b/server/src/main/java/org/amaranthpick/server/http/HostPool.java
@@ -21,6 +21,8 @@
 /** Connections to one receiver. Everything but {@link #close()} runs on its I/O thread. */
 final class HostPool {
     private static final int READ_BUFFER_BYTES = 16 * 1024;
+    private static final ThreadLocal<ByteBuffer> READ_BUFFER =
+            ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(READ_BUFFER_BYTES));
     private static final OptionMap OPTIONS =
             OptionMap.builder()
                     .set(Options.TCP_NODELAY, true)
@@ -35,7 +37,6 @@
     private final ConnectorCounters mCounters;
     private final Deque<Idle> mIdle = new ArrayDeque<>();
     private final Deque<Taker> mWaiting = new ArrayDeque<>();
-    private final ByteBuffer mReadBuffer = ByteBuffer.allocate(READ_BUFFER_BYTES);
     private int mOpen;
     private boolean mSweepPlanned;
     private boolean mClosed;
@@ -97,9 +98,9 @@
         return mSettings.connectTimeout();
     }
 
-    /** Returns the buffer that calls of this pool read into; they run on one thread. */
-    ByteBuffer readBuffer() {
-        return mReadBuffer;
+    /** Returns the empty buffer that the calls of this thread read into, one after another. */
+    static ByteBuffer readBuffer() {
+        return READ_BUFFER.get().clear();
     }
 
     /** Takes a pooled connection, or opens one; waits in a bounded queue when all are in use. */
--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -185,7 +185,7 @@
     private void read(StreamSourceChannel source) {
         try {
             while (!mDone && !mPaused) {
-                ByteBuffer buffer = mPool.readBuffer().clear();
+                ByteBuffer buffer = HostPool.readBuffer();
                 int count = source.read(buffer);
                 if (count < 0) {
                     complete();
--- a/server/src/main/java/org/amaranthpick/server/peer/PeerLink.java
+++ b/server/src/main/java/org/amaranthpick/server/peer/PeerLink.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.amaranthpick.core.member.PeerAddress;
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.time.Cancellable;
@@ -30,13 +31,23 @@
     private final Identity mPeer;
     private final XnioIoThread mThread;
     private final SendQueue mQueue;
+    private final Consumer<PeerLink> mOnIdle;
     private final AtomicBoolean mPumpPlanned = new AtomicBoolean();
     private Optional<Session> mSession = Optional.empty();
     private boolean mBackingOff;
     private boolean mClosed;
     private int mFailures;
 
-    PeerLink(PeerContext context, Identity peer, XnioIoThread thread) {
+    /**
+     * Creates a link without a connection.
+     *
+     * @param context shared parts
+     * @param peer host of the peer
+     * @param thread I/O thread of the link
+     * @param onIdle told when nothing waits and no connection is open; the link may be forgotten
+     */
+    PeerLink(PeerContext context, Identity peer, XnioIoThread thread, Consumer<PeerLink> onIdle) {
+        mOnIdle = onIdle;
         mContext = context;
         mPeer = peer;
         mThread = thread;
@@ -77,6 +88,7 @@
         Optional<PeerAddress> address = mContext.addresses().apply(mPeer);
         if (address.isEmpty()) {
             drop(mQueue.clear());
+            mOnIdle.accept(this);
             return;
         }
         Session session = new Session();
@@ -105,6 +117,8 @@
     private void replaceIfNeeded(Session session) {
         if (session.mSilent || !mQueue.isEmpty()) {
             connect();
+        } else {
+            mOnIdle.accept(this);
         }
     }
 
@@ -118,6 +132,16 @@
 
     private void endBackoff() {
         mBackingOff = false;
+        int failures = mFailures;
+        after(mContext.settings().idleTimeout(), () -> forgetIfUnused(failures));
+    }
+
+    /** A peer that nobody sends to any more is forgotten, and its failures with it. */
+    private void forgetIfUnused(int failures) {
+        boolean unused = mSession.isEmpty() && !mBackingOff && mFailures == failures;
+        if (unused && mQueue.isEmpty()) {
+            mOnIdle.accept(this);
+        }
     }
 
     private Duration backoff() {
--- a/server/src/main/java/org/amaranthpick/server/peer/PeerTransport.java
+++ b/server/src/main/java/org/amaranthpick/server/peer/PeerTransport.java
@@ -129,6 +129,15 @@
         return mAcceptor.getLocalAddress(InetSocketAddress.class);
     }
 
+    /**
+     * Counts the peers that are or were lately sent to.
+     *
+     * @return number of links
+     */
+    public int links() {
+        return mLinks.size();
+    }
+
     /**
      * Returns the counters.
      *
@@ -160,7 +169,8 @@
     }
 
     private PeerLink link(Identity peer) {
-        return new PeerLink(mContext, peer, mWorker.getIoThread());
+        return new PeerLink(
+                mContext, peer, mWorker.getIoThread(), idle -> mLinks.remove(peer, idle));
     }
 
     private void onAcceptable(AcceptingChannel<StreamConnection> acceptor) {
--- a/server/src/test/java/org/amaranthpick/server/peer/TestPeer.java
+++ b/server/src/test/java/org/amaranthpick/server/peer/TestPeer.java
@@ -96,6 +96,10 @@
         return mTransport.counters().get(event);
     }
 
+    int links() {
+        return mTransport.links();
+    }
+
     @Override
     public void close() {
         mTransport.close();
--- a/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamClientTest.java
+++ b/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamClientTest.java
@@ -188,6 +188,18 @@
         Await.until(() -> mEngines.second().isCancelled("r1", 1), "cancel at the second stage");
     }
 
+    @Test
+    void deathOfLaterStageMidAnswerNamesIt() throws InterruptedException {
+        mEngines.first().faults().mSlow = Duration.ofMillis(50);
+        RecordingListener listener = new RecordingListener();
+        mClient.generate(mEngines.configuration(), EngineChain.call("r1", 1, List.of()), listener);
+        listener.awaitFirstToken();
+        mEngines.second().die();
+        StreamEnd.StageLost lost = assertInstanceOf(StreamEnd.StageLost.class, listener.await());
+        assertEquals("second", lost.upstream().name());
+        assertTrue(listener.texts().size() < EngineChain.TOKENS);
+    }
+
     @Test
     void connectionIsReused() throws InterruptedException {
         run("r1");
