--- /dev/null
+++ b/core/src/test/java/org/amaranthpick/core/config/ControlMessagesTest.java
@@ -0,0 +1,98 @@
+package org.amaranthpick.core.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.amaranthpick.core.member.LeavingNotice;
+import org.amaranthpick.core.member.Member;
+import org.amaranthpick.core.member.MemberCodecs;
+import org.amaranthpick.core.member.MemberMessage;
+import org.amaranthpick.core.member.MemberState;
+import org.amaranthpick.core.member.PeerAddress;
+import org.amaranthpick.core.name.Identity;
+import org.amaranthpick.core.name.ResourceKind;
+import org.amaranthpick.core.peer.DecodedMessage;
+import org.amaranthpick.core.peer.MessageCodec;
+import org.amaranthpick.core.peer.PeerCodec;
+import org.amaranthpick.core.peer.PeerMessage;
+import org.amaranthpick.core.store.WriterToken;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Codecs of the membership and of the configuration, whole and damaged. */
+class ControlMessagesTest {
+    private static final Identity HOST = new Identity("viseu", ResourceKind.HOST, "h-1");
+    private static final Identity DOMAIN = new Identity("viseu", ResourceKind.DOMAIN, "tondela-c");
+    private static final String DIGEST = "ab".repeat(32);
+    private static final PeerCodec CODEC = new PeerCodec(codecs());
+
+    static List<PeerMessage> messages() {
+        Member member =
+                new Member(HOST, new PeerAddress("::1", 9), DOMAIN, "r", 7, MemberState.LEAVING);
+        MemberMessage.News news =
+                new MemberMessage.News(
+                        List.of(member),
+                        List.of(new LeavingNotice(HOST, DOMAIN, "boot", true, 5)),
+                        List.of(new MemberMessage.ReachReport(HOST, 3, List.of(DOMAIN))));
+        MemberMessage.Heartbeat heartbeat = new MemberMessage.Heartbeat(4, -5, news);
+        ConfigurationRoot root =
+                new ConfigurationRoot(
+                        2,
+                        DIGEST,
+                        List.of(DIGEST),
+                        List.of(
+                                new ConfigurationRoot.Acceptance(
+                                        2, DIGEST, new WriterToken("o", 1, 1))));
+        return List.of(
+                new MemberMessage.Ping(1, heartbeat),
+                new MemberMessage.Ack(Long.MAX_VALUE, heartbeat),
+                new MemberMessage.ProbeRequest(1, HOST),
+                new MemberMessage.ProbeReply(1, HOST),
+                new MemberMessage.Join(member),
+                new MemberMessage.TableRequest(Map.of(DOMAIN, -1L)),
+                new MemberMessage.Table(DOMAIN, news.members(), news.notices()),
+                new MemberMessage.Beat(DOMAIN, heartbeat),
+                new MemberMessage.UrgentNews(news),
+                new ConfigMessage.Notice(9, HOST),
+                new ConfigMessage.RootRequest(),
+                new ConfigMessage.RootReply(Optional.of(root)),
+                new ConfigMessage.RootReply(Optional.empty()),
+                new ConfigMessage.ChunkRequest(List.of(DIGEST)),
+                new ConfigMessage.InForce(3),
+                new ConfigMessage.InForceQuery(1, 3),
+                new ConfigMessage.InForceReply(1, DOMAIN, 4, List.of(HOST)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("messages")
+    void roundTrips(PeerMessage message) {
+        assertEquals(new DecodedMessage.Message(message), CODEC.decode(CODEC.encode(message)));
+    }
+
+    @Property(tries = 3000, seed = "4713")
+    void damageGivesATypedResult(
+            @ForAll @IntRange(max = 16) int number,
+            @ForAll @IntRange(max = 500) int position,
+            @ForAll byte value) {
+        byte[] bytes = CODEC.encode(messages().get(number));
+        int at = position % bytes.length;
+        assertInstanceOf(DecodedMessage.Malformed.class, CODEC.decode(Arrays.copyOf(bytes, at)));
+        bytes[at] = value;
+        assertNotNull(CODEC.decode(bytes));
+    }
+
+    private static List<MessageCodec<?>> codecs() {
+        List<MessageCodec<?>> codecs = new ArrayList<>(MemberCodecs.all());
+        codecs.addAll(ConfigCodecs.all());
+        return codecs;
+    }
+}
