Wait longer for streams of low priority; tell a slow caller from a bad stage

Cause: engines let streams of high priority go first, so a low one that falls silent would have been retried and its engine blamed; a caller that paused with more tokens on their way than may be held had its engine blamed as well. Change: below priority 5 silences are waited for four times as long; overflow has a verdict of its own and ends the request without blame. Conclusion: prompt detection is kept for interactive requests.

--- a/core/src/main/java/org/amaranthpick/core/request/FrameVerdict.java
+++ b/core/src/main/java/org/amaranthpick/core/request/FrameVerdict.java
@@ -12,8 +12,10 @@
     FOREIGN("foreign"),
     /** Its layers did not run once each in order; dropped, and the attempt fails. */
     WRONG_TRACE("wrong_trace"),
-    /** Beyond the tokens asked for, or too far ahead of a missing one; the attempt fails. */
-    OUT_OF_RANGE("out_of_range");
+    /** Beyond the tokens asked for; the attempt fails. */
+    OUT_OF_RANGE("out_of_range"),
+    /** More than may be held for a paused caller or ahead of a missing token; dropped. */
+    OVERFLOW("overflow");
 
     private final String mLabel;
 
--- a/core/src/main/java/org/amaranthpick/core/request/ModelExchange.java
+++ b/core/src/main/java/org/amaranthpick/core/request/ModelExchange.java
@@ -177,6 +177,16 @@
             fail(attempt, stage, "layers ran as " + frame.trace());
         } else if (verdict == FrameVerdict.OUT_OF_RANGE) {
             fail(attempt, firstStage(attempt), "token " + frame.index() + " is out of range");
+        } else if (verdict == FrameVerdict.OVERFLOW) {
+            onOverflow(attempt);
+        }
+    }
+
+    private void onOverflow(Attempt attempt) {
+        if (mPaused) {
+            giveUp(RefusalReason.CANCELLED, "the caller reads too slowly", Optional.empty());
+        } else {
+            fail(attempt, firstStage(attempt), "token " + mSequencer.next() + " is missing");
         }
     }
 
@@ -281,8 +291,10 @@
         return patience(limit);
     }
 
+    /** Engines may let waiting streams of high priority go first, so that low ones fall silent. */
     private Duration patience(Duration limit) {
-        return mayRepeat() ? limit : limit.multipliedBy(settings().singleAttemptFactor());
+        boolean prompt = mayRepeat() && mRequest.priority() >= settings().promptPriority();
+        return prompt ? limit : limit.multipliedBy(settings().patienceFactor());
     }
 
     private void watch(Attempt attempt) {
--- a/core/src/main/java/org/amaranthpick/core/request/RequestSettings.java
+++ b/core/src/main/java/org/amaranthpick/core/request/RequestSettings.java
@@ -8,7 +8,9 @@
  * @param tokenSilence silence between two tokens after which a stage counts as lost
  * @param firstTokenGrace time to the first token allowed beyond the predicted one
  * @param predictionFactor the predicted time to the first token is multiplied by this
- * @param singleAttemptFactor silences are multiplied by this where no other attempt is allowed
+ * @param promptPriority priority from which a silent stage is replaced promptly
+ * @param patienceFactor silences are multiplied by this below that priority, and where no other
+ *     attempt is allowed
  * @param stallLimit longest pause of a caller before its request is given up
  * @param maxBufferedTokens tokens held for a paused caller or ahead of a missing one
  * @param serviceTimeout time for one service call without a deadline
@@ -19,7 +21,8 @@
         Duration tokenSilence,
         Duration firstTokenGrace,
         int predictionFactor,
-        int singleAttemptFactor,
+        int promptPriority,
+        int patienceFactor,
         Duration stallLimit,
         int maxBufferedTokens,
         Duration serviceTimeout,
@@ -36,6 +39,7 @@
                 Duration.ofMillis(1500),
                 Duration.ofMillis(1500),
                 2,
+                5,
                 4,
                 Duration.ofSeconds(60),
                 1024,
--- a/core/src/main/java/org/amaranthpick/core/request/TokenSequencer.java
+++ b/core/src/main/java/org/amaranthpick/core/request/TokenSequencer.java
@@ -80,9 +80,12 @@
         if (!LayerTrace.isWhole(mChain, frame.trace())) {
             return FrameVerdict.WRONG_TRACE;
         }
-        if (frame.index() >= mMaxTokens || buffered() >= mMaxBuffered) {
+        if (frame.index() >= mMaxTokens) {
             return FrameVerdict.OUT_OF_RANGE;
         }
+        if (buffered() >= mMaxBuffered) {
+            return FrameVerdict.OVERFLOW;
+        }
         take(frame);
         return FrameVerdict.ACCEPTED;
     }
--- a/core/src/test/java/org/amaranthpick/core/request/RequestLifeTest.java
+++ b/core/src/test/java/org/amaranthpick/core/request/RequestLifeTest.java
@@ -93,6 +93,29 @@
         assertEquals(2, mFixture.mUpstreams.calls().size());
     }
 
+    @Test
+    void silentStreamOfLowPriorityIsWaitedForLonger() {
+        failFirstAttempt(Step.MID_STREAM, Fault.SILENCE);
+        CallerRequest low = mFixture.request("r", true, Optional.empty());
+        mFixture.mRouter.submit(
+                new CallerRequest(
+                        low.requestId(),
+                        low.configuration(),
+                        low.workspace(),
+                        low.pipeline(),
+                        low.prompt(),
+                        low.maxTokens(),
+                        0,
+                        low.deadline(),
+                        true,
+                        low.idempotencyKey()),
+                mSink);
+        advance(Duration.ofSeconds(5));
+        assertEquals(1, mFixture.mUpstreams.calls().size());
+        advance(DETECTION);
+        assertEquals(RequestFixture.wholeText("r"), mSink.text());
+    }
+
     @Test
     void secondSilenceLeavesOutTheStageThatBothChainsShare() {
         mFixture.mUpstreams.script(
--- a/core/src/test/java/org/amaranthpick/core/request/TokenSequencerTest.java
+++ b/core/src/test/java/org/amaranthpick/core/request/TokenSequencerTest.java
@@ -18,6 +18,7 @@
 import org.amaranthpick.core.route.Hop;
 import org.amaranthpick.core.route.KvSource;
 import org.amaranthpick.core.upstream.TokenFrame;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -58,6 +59,19 @@
         assertEquals(whole, LayerTrace.isWhole(CHAIN, ranges));
     }
 
+    @Test
+    void tokensBeyondTheBoundOfThoseHeldAreDropped() {
+        TokenSequencer sequencer = new TokenSequencer("r", TOKENS, 2);
+        sequencer.begin(1, CHAIN);
+        List<FrameVerdict> verdicts = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            verdicts.add(sequencer.accept(1, new TokenFrame("r", 1, i, "t", TRACE)));
+        }
+        assertEquals(
+                List.of(FrameVerdict.ACCEPTED, FrameVerdict.ACCEPTED, FrameVerdict.OVERFLOW),
+                verdicts);
+    }
+
     @Property(tries = 500, seed = "21", shrinking = ShrinkingMode.OFF)
     void everyTokenIsHandedOnOnceInOrderFromItsAttempt(@ForAll long seed) {
         TokenSequencer sequencer = new TokenSequencer("r", TOKENS, 1000);
