--- a/server/src/main/java/org/amaranthpick/server/caller/ModelCallHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/caller/ModelCallHandler.java
@@ -2,12 +2,9 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import java.util.Optional;
 import org.amaranthpick.core.config.Configuration;
 import org.amaranthpick.core.manifest.PipelineSpec;
 import org.amaranthpick.core.manifest.WorkspaceSpec;
-import org.amaranthpick.core.name.Identity;
-import org.amaranthpick.core.name.IllegalNameException;
 import org.amaranthpick.core.name.ResourceKind;
 import org.amaranthpick.core.request.CallerRequest;
 import org.amaranthpick.core.request.RefusalReason;
@@ -98,14 +95,13 @@
     private static PipelineSpec pipeline(
             Configuration configuration, WorkspaceSpec workspace, String model)
             throws FaultException {
-        Optional<PipelineSpec> pipeline = Optional.empty();
-        try {
-            Identity id = Identity.resolve(workspace.id().fleet(), ResourceKind.PIPELINE, model);
-            pipeline = configuration.pipeline(id).filter(p -> workspace.pipelines().contains(id));
-        } catch (IllegalNameException e) {
-            throw new FaultException(unknownModel());
-        }
-        return pipeline.orElseThrow(() -> new FaultException(unknownModel()));
+        return WorkspaceLookup.find(
+                workspace,
+                ResourceKind.PIPELINE,
+                model,
+                workspace.pipelines(),
+                configuration::pipeline,
+                unknownModel());
     }
 
     private static RequestFault unknownModel() {
--- a/server/src/main/java/org/amaranthpick/server/caller/ServiceCallHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/caller/ServiceCallHandler.java
@@ -9,13 +9,10 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.amaranthpick.core.config.Configuration;
 import org.amaranthpick.core.manifest.ServiceSpec;
 import org.amaranthpick.core.manifest.WorkspaceSpec;
-import org.amaranthpick.core.name.Identity;
-import org.amaranthpick.core.name.IllegalNameException;
 import org.amaranthpick.core.name.ResourceKind;
 import org.amaranthpick.core.request.RefusalReason;
 import org.amaranthpick.core.request.RequestHandle;
@@ -124,14 +121,13 @@
     private static ServiceSpec service(
             Configuration configuration, WorkspaceSpec workspace, String name)
             throws FaultException {
-        Optional<ServiceSpec> service = Optional.empty();
-        try {
-            Identity id = Identity.resolve(workspace.id().fleet(), ResourceKind.SERVICE, name);
-            service = configuration.service(id).filter(s -> workspace.services().contains(id));
-        } catch (IllegalNameException e) {
-            throw new FaultException(unknownService());
-        }
-        return service.orElseThrow(() -> new FaultException(unknownService()));
+        return WorkspaceLookup.find(
+                workspace,
+                ResourceKind.SERVICE,
+                name,
+                workspace.services(),
+                configuration::service,
+                unknownService());
     }
 
     private static RequestFault unknownService() {
