Test large prompts, long answers and long pauses

Cause: only short streams were tested, and the test of pauses was shorter than the time after which a stream counts as silent. Change: a prompt of 2.4 MB with 5,000 tokens; a pause of twice that time; the stand-ins take bodies up to 64 MB in place of the library's 2 MB. With the pause left out of the silence check the pause test fails.

--- a/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamCallsTest.java
+++ b/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamCallsTest.java
@@ -24,6 +24,7 @@
 import org.amaranthpick.core.name.ResourceKind;
 import org.amaranthpick.core.upstream.CacheEvent;
 import org.amaranthpick.core.upstream.CacheEventListener;
+import org.amaranthpick.core.upstream.GenerateCall;
 import org.amaranthpick.core.upstream.OrderReply;
 import org.amaranthpick.core.upstream.ServiceCall;
 import org.amaranthpick.core.upstream.ServiceReply;
@@ -35,6 +36,7 @@
 import org.amaranthpick.server.Workers;
 import org.amaranthpick.server.http.ConnectorSettings;
 import org.amaranthpick.server.time.SystemScheduler;
+import org.amaranthpick.standins.ExpectedText;
 import org.amaranthpick.standins.LayerRun;
 import org.amaranthpick.standins.ServiceStandIn;
 import org.junit.jupiter.api.AfterEach;
@@ -271,11 +273,36 @@
                         mEngines.configuration(), EngineChain.call("r1", 1, List.of()), listener);
         listener.awaitFirstToken();
         stream.pause();
-        stream.resume();
+        mScheduler.schedule(SETTINGS.streamSilence().multipliedBy(2), stream::resume);
         assertInstanceOf(StreamEnd.Finished.class, listener.await());
         assertEquals(EngineChain.answer(), listener.texts());
     }
 
+    @Test
+    void largePromptAndLongAnswerComeWhole() throws InterruptedException {
+        GenerateCall small = EngineChain.call("r1", 1, List.of());
+        String prompt = "é plan ".repeat(300_000);
+        int tokens = 5000;
+        GenerateCall large =
+                new GenerateCall(
+                        small.requestId(),
+                        1,
+                        small.workspace(),
+                        small.chain(),
+                        Optional.empty(),
+                        prompt,
+                        List.of(),
+                        tokens,
+                        5,
+                        Optional.empty());
+        RecordingListener listener = new RecordingListener();
+        mClient.generate(mEngines.configuration(), large, listener);
+        assertEquals(new StreamEnd.Finished("length", tokens), listener.await());
+        String model = small.chain().modelVersion().key();
+        assertEquals(
+                ExpectedText.answer(model, "", prompt, tokens), String.join("", listener.texts()));
+    }
+
     @Test
     void fullPoolQueuesThenRefusesWithoutSending() throws InterruptedException {
         mEngines.first().faults().mSilentAfterTokens = 0;
--- a/standins/src/main/java/org/amaranthpick/standins/StandInServer.java
+++ b/standins/src/main/java/org/amaranthpick/standins/StandInServer.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.standins;
 
 import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
@@ -16,6 +17,7 @@
     private static final String HOST = "127.0.0.1";
     private static final int IO_THREADS = 2;
     private static final int MAX_WORKERS = 256;
+    private static final long MAX_BODY_BYTES = 64L * 1024 * 1024;
 
     private final HttpHandler mHandler;
     private final Set<ServerConnection> mConnections = ConcurrentHashMap.newKeySet();
@@ -37,6 +39,7 @@
                         .addHttpListener(mPort, HOST)
                         .setIoThreads(IO_THREADS)
                         .setWorkerThreads(MAX_WORKERS)
+                        .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
                         .setHandler(this::track)
                         .build();
         mUndertow.start();
