Split the telling of urgent news from the membership

Cause: Membership and MembershipState had two ways of telling at once.

Change: Broadcaster holds them; no change of behaviour. ManifestScaling also loads YAML.

--- a/bench/src/main/java/org/amaranthpick/bench/ManifestScaling.java
+++ b/bench/src/main/java/org/amaranthpick/bench/ManifestScaling.java
@@ -1,5 +1,10 @@
 package org.amaranthpick.bench;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import org.amaranthpick.core.config.Configuration;
@@ -23,12 +28,13 @@
      */
     public static void main(String[] args) {
         System.out.printf(
-                "%10s %9s %6s | %9s %9s %9s %9s | %7s %9s %9s | %9s %9s%n",
+                "%10s %9s %6s | %9s %9s %9s %9s %9s | %7s %9s %9s | %9s %9s%n",
                 "workspaces",
                 "upstreams",
                 "models",
                 "json_B",
                 "load_ms",
+                "yaml_ms",
                 "split_ms",
                 "join_ms",
                 "chunks",
@@ -44,6 +50,8 @@
     private static void measure(int workspaces, int upstreams, int models) {
         String json = ManifestWriter.write(TargetManifest.of(workspaces, upstreams, models, 1));
         double loadMs = medianMs(() -> load(json));
+        String yaml = toYaml(json);
+        double yamlMs = medianMs(() -> load(yaml));
         Manifest manifest = load(json);
         double splitMs = medianMs(() -> ManifestChunks.split(manifest));
         ManifestChunks chunks = ManifestChunks.split(manifest);
@@ -55,12 +63,13 @@
         long configurationBytes = usedBytes() - before - chunkBytes;
         int largest = held.chunks().values().stream().mapToInt(b -> b.length).max().orElse(0);
         System.out.printf(
-                "%10d %9d %6d | %9d %9.1f %9.1f %9.1f | %7d %9d %9d | %9.2f %9.2f%n",
+                "%10d %9d %6d | %9d %9.1f %9.1f %9.1f %9.1f | %7d %9d %9d | %9.2f %9.2f%n",
                 workspaces,
                 upstreams,
                 models,
                 json.length(),
                 loadMs,
+                yamlMs,
                 splitMs,
                 joinMs,
                 held.chunks().size(),
@@ -97,6 +106,15 @@
         throw new IllegalStateException(result.toString());
     }
 
+    private static String toYaml(String json) {
+        try {
+            JsonNode node = new ObjectMapper().readTree(json);
+            return new YAMLMapper().writeValueAsString(node);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static double medianMs(Runnable work) {
         List<Long> timesNs = new ArrayList<>();
         for (int i = 0; i < RUNS; i++) {
--- a/core/src/main/java/org/amaranthpick/core/member/Membership.java
+++ b/core/src/main/java/org/amaranthpick/core/member/Membership.java
@@ -30,8 +30,6 @@
  */
 public final class Membership implements MemberView, AutoCloseable {
     private static final int JOIN_CONTACTS = 3;
-    private static final int BROADCASTS = 5;
-    private static final Duration BROADCAST_PERIOD = Duration.ofMillis(500);
     private static final int MAX_PERIODS_BETWEEN_STEPS = 2;
 
     private final Object mLock = new Object();
@@ -39,6 +37,7 @@
     private final Scheduler mScheduler;
     private final HostDirectory mDirectory;
     private final RandomGenerator mRandom;
+    private final Broadcaster mBroadcaster;
     private final HostList mHosts;
     private final Prober mProber;
     private final DomainLinks mLinks;
@@ -73,8 +72,9 @@
         mScheduler = scheduler;
         mDirectory = directory;
         mRandom = random;
+        mBroadcaster = new Broadcaster(mLock, mState);
         mHosts = new HostList(mState);
-        mProber = new Prober(mState, random);
+        mProber = new Prober(mState, mBroadcaster, random);
         mLinks = new DomainLinks(mState, mHosts, random);
         mSync = new TableSync(mState);
         mSnapshot = new MemberSnapshot(self);
@@ -158,7 +158,8 @@
         synchronized (mLock) {
             if (mState.self().state() != MemberState.LEAVING) {
                 mState.updateSelf(MemberState.LEAVING, mState.self().incarnation());
-                broadcastRepeatedly(new News(List.of(mState.self()), List.of(), List.of()));
+                mBroadcaster.tellAllRepeatedly(
+                        new News(List.of(mState.self()), List.of(), List.of()));
                 mSnapshot.refresh(mState);
             }
         }
@@ -185,7 +186,7 @@
             LeavingNotice notice = new LeavingNotice(target, domain, bootId, leaving, sequenceMs);
             News fresh = mState.apply(new News(List.of(), List.of(notice), List.of()));
             if (!fresh.isEmpty()) {
-                broadcastRepeatedly(fresh);
+                mBroadcaster.tellAllRepeatedly(fresh);
             }
         }
     }
@@ -260,7 +261,7 @@
             mSnapshot.setListed(hosts);
             News fresh = mHosts.onRead(hosts);
             if (!fresh.isEmpty()) {
-                broadcastRepeatedly(fresh);
+                mBroadcaster.tellAllRepeatedly(fresh);
             }
             join();
             mSnapshot.refresh(mState);
@@ -355,30 +356,7 @@
                         .filter(member -> !member.domain().equals(mState.ownDomain()))
                         .isPresent();
         if (outside) {
-            tellDomain(urgent.news().leavingOnly());
-            tellDomain(fresh.deadOnly());
-        }
-    }
-
-    private void tellDomain(News news) {
-        if (!news.isEmpty()) {
-            mState.tellDomain(news);
-        }
-    }
-
-    /** Tells news at once and again, so that a lost message does not delay it. */
-    private void broadcastRepeatedly(News news) {
-        mState.broadcast(news);
-        for (int i = 1; i < BROADCASTS; i++) {
-            mScheduler.schedule(BROADCAST_PERIOD.multipliedBy(i), () -> broadcastAgain(news));
-        }
-    }
-
-    private void broadcastAgain(News news) {
-        synchronized (mLock) {
-            if (!mClosed) {
-                mState.broadcast(news);
-            }
+            mBroadcaster.passOn(urgent.news(), fresh);
         }
     }
 }
--- a/core/src/main/java/org/amaranthpick/core/member/MembershipState.java
+++ b/core/src/main/java/org/amaranthpick/core/member/MembershipState.java
@@ -150,21 +150,6 @@
         return fresh;
     }
 
-    /** Tells news at once to this domain and to the relays of the others. */
-    void broadcast(News news) {
-        tellDomain(news);
-        for (Identity domain : mTable.domains()) {
-            if (!domain.equals(ownDomain())) {
-                relays(domain).forEach(relay -> send(relay, new UrgentNews(news)));
-            }
-        }
-    }
-
-    /** Tells news at once to this domain. */
-    void tellDomain(News news) {
-        neighbours().forEach(member -> send(member, new UrgentNews(news)));
-    }
-
     /** Lets a daemon that is believed dead or suspect refute it. */
     void rebut(Identity host) {
         long nowNs = mScheduler.monotonicNs();
--- a/core/src/main/java/org/amaranthpick/core/member/Prober.java
+++ b/core/src/main/java/org/amaranthpick/core/member/Prober.java
@@ -23,6 +23,7 @@
     private static final int MAX_LEAVING_FAILURES = 3;
 
     private final MembershipState mState;
+    private final Broadcaster mBroadcaster;
     private final RandomGenerator mRandom;
     private final List<Identity> mOrder = new ArrayList<>();
     private final Map<Long, ProbeRequest> mForeign = new HashMap<>();
@@ -33,8 +34,9 @@
     private long mTargetSequence;
     private long mHoldUntilNs;
 
-    Prober(MembershipState state, RandomGenerator random) {
+    Prober(MembershipState state, Broadcaster broadcaster, RandomGenerator random) {
         mState = state;
+        mBroadcaster = broadcaster;
         mRandom = random;
     }
 
@@ -169,7 +171,7 @@
         if (!dead.isEmpty() && mState.isRelay()) {
             List<Member> told =
                     dead.stream().map(m -> m.with(MemberState.DEAD, m.incarnation())).toList();
-            mState.broadcast(new News(told, List.of(), List.of()));
+            mBroadcaster.tellAll(new News(told, List.of(), List.of()));
         }
     }
 
