--- a/bench/src/main/java/org/amaranthpick/bench/wave/FakeEngine.java
+++ b/bench/src/main/java/org/amaranthpick/bench/wave/FakeEngine.java
@@ -21,7 +21,8 @@
  * most urgent prompt. Prompt blocks seen before are not computed again.
  */
 final class FakeEngine {
-    private static final int CHUNK_TOKENS = 128;
+    private static final double CHUNK_SECONDS = 0.003;
+    private static final int MIN_CHUNK_TOKENS = 16;
     private static final int BLOCK_TOKENS = 16;
     private static final int MAX_BLOCKS = 200_000;
     private static final double NS_PER_S = 1e9;
@@ -109,7 +110,7 @@
             seconds += size / mAccelerator.decodeLayerTokensPerSecond();
             layers = Math.max(layers, size);
         }
-        int budget = CHUNK_TOKENS;
+        int budget = chunkTokens();
         while (budget > 0 && !mPrefill.isEmpty()) {
             WaveRequest request = mPrefill.peek();
             int size = request.hop().layers().size();
@@ -128,6 +129,12 @@
         var unused = mScheduler.schedule(Duration.ofNanos(ns), () -> finish(tokens));
     }
 
+    private int chunkTokens() {
+        int layers = mSpec.initial().get(0).layers().size();
+        double tokens = CHUNK_SECONDS * mAccelerator.prefillLayerTokensPerSecond() / layers;
+        return Math.max(MIN_CHUNK_TOKENS, (int) tokens);
+    }
+
     private void finish(List<WaveRequest> tokens) {
         mRunning = false;
         for (WaveRequest request : tokens) {
--- a/bench/src/main/java/org/amaranthpick/bench/wave/WaveDaemon.java
+++ b/bench/src/main/java/org/amaranthpick/bench/wave/WaveDaemon.java
@@ -85,7 +85,7 @@
             Configuration configuration,
             VirtualScheduler scheduler,
             Policy policy,
-            boolean gated) {
+            Optional<Integer> paceMs) {
         mConfiguration = configuration;
         mDomain = WaveFleet.domain(index % domains);
         mRouting =
@@ -101,14 +101,27 @@
                         id -> 1,
                         new PrefixIndex(50_000));
         mChooser = chooser(policy, index);
-        DelayWindowGate window = new DelayWindowGate(DelayWindowGate.Settings.DEFAULT, scheduler);
+        DelayWindowGate window = new DelayWindowGate(settings(paceMs), scheduler);
         mFeedback = new GatedFeedback(mRouting.feedback(), window);
-        CapacityGate gate = gated ? window : new OpenGate();
+        CapacityGate gate = paceMs.isPresent() ? window : new OpenGate();
         mAdmission =
                 new FairAdmission(
                         AdmissionSettings.DEFAULT, new LocalLimits(scheduler), gate, scheduler);
     }
 
+    private static DelayWindowGate.Settings settings(Optional<Integer> paceMs) {
+        DelayWindowGate.Settings settings = DelayWindowGate.Settings.DEFAULT;
+        Duration pace = paceMs.map(Duration::ofMillis).orElse(settings.betweenTarget());
+        return new DelayWindowGate.Settings(
+                settings.first(),
+                settings.smallest(),
+                settings.largest(),
+                settings.delayTarget(),
+                pace,
+                settings.urgentPriority(),
+                settings.urgentReserve());
+    }
+
     private ChainChooser chooser(Policy policy, int index) {
         EngineDirectory directory =
                 new EngineDirectory(mBoard, () -> Optional.of(mConfiguration), id -> false);
--- a/bench/src/main/java/org/amaranthpick/bench/wave/WaveMeasure.java
+++ b/bench/src/main/java/org/amaranthpick/bench/wave/WaveMeasure.java
@@ -14,13 +14,15 @@
     /**
      * Runs the measurement.
      *
-     * @param args offered load as a multiple of the bound (1.2), seconds (60)
+     * @param args offered load as a multiple of the bound (1.2), seconds (60), time between tokens
+     *     that the window aims at in milliseconds (16)
      */
     public static void main(String[] args) {
         sRoot.setLevel(Level.WARNING);
         double load = args.length > 0 ? Double.parseDouble(args[0]) : 1.2;
         int seconds = args.length > 1 ? Integer.parseInt(args[1]) : 60;
-        WaveRun.Trace trace = new WaveRun.Trace(load, 5, seconds, seconds / 3);
+        int paceMs = args.length > 2 ? Integer.parseInt(args[2]) : 16;
+        WaveRun.Trace trace = new WaveRun.Trace(load, 5, seconds, seconds / 3, paceMs);
         System.out.printf(
                 Locale.ROOT,
                 "%-12s %-6s %7s | urgent first ms %6s %6s %6s | between %5s %5s | batch first %7s |"
--- a/bench/src/main/java/org/amaranthpick/bench/wave/WaveRequest.java
+++ b/bench/src/main/java/org/amaranthpick/bench/wave/WaveRequest.java
@@ -19,6 +19,7 @@
     Permit mPermit;
     long mSentNs;
     long mLastTokenNs;
+    long mToldNs;
     int mHop;
     int mDone;
     int mPrefillLeft;
--- a/bench/src/main/java/org/amaranthpick/bench/wave/WaveRun.java
+++ b/bench/src/main/java/org/amaranthpick/bench/wave/WaveRun.java
@@ -28,6 +28,7 @@
     private static final int NEAR_PERIOD_MS = 1_000;
     private static final int FAR_PERIOD_MS = 10_000;
     private static final int TOKENS = 360;
+    private static final int TOKENS_PER_REPORT = 32;
 
     private final VirtualScheduler mScheduler =
             new VirtualScheduler(Instant.parse("2026-01-04T18:00:00Z"));
@@ -43,7 +44,7 @@
     private long mRequests;
 
     /** What arrives. */
-    record Trace(double load, double urgentPerSecond, int seconds, int warmUpSeconds) {}
+    record Trace(double load, double urgentPerSecond, int seconds, int warmUpSeconds, int paceMs) {}
 
     /** What was measured after the warm-up. */
     static final class Result {
@@ -80,7 +81,14 @@
                             mLinks.put(List.of(link.to(), link.from()), link);
                         });
         for (int i = 0; i < DAEMONS; i++) {
-            mDaemons.add(new WaveDaemon(i, DOMAINS, mConfiguration, mScheduler, policy, gated));
+            mDaemons.add(
+                    new WaveDaemon(
+                            i,
+                            DOMAINS,
+                            mConfiguration,
+                            mScheduler,
+                            policy,
+                            gated ? Optional.of(trace.paceMs()) : Optional.empty()));
         }
     }
 
@@ -182,6 +190,13 @@
             Histogram between = urgent ? mResult.mUrgentBetweenMs : mResult.mBatchBetweenMs;
             between.recordValue((nowNs - request.mLastTokenNs) / NS_PER_MS);
         }
+        if (request.mDone % TOKENS_PER_REPORT == 0) {
+            if (request.mDone > 0) {
+                Duration elapsed = Duration.ofNanos(nowNs - request.mToldNs);
+                daemon.feedback().onTokens(request.mChain, TOKENS_PER_REPORT, elapsed);
+            }
+            request.mToldNs = nowNs;
+        }
         request.mLastTokenNs = nowNs;
         request.mDone++;
         if (measured) {
--- a/core/src/main/java/org/amaranthpick/core/admit/DelayWindowGate.java
+++ b/core/src/main/java/org/amaranthpick/core/admit/DelayWindowGate.java
@@ -6,16 +6,21 @@
 import org.amaranthpick.core.time.Scheduler;
 
 /**
- * Bounds the requests in progress by a window per group that follows the delay of first tokens: it
- * grows while the delay stays near its floor, so that engines are kept busy, and shrinks when
- * queues build up there. What does not fit waits here, where urgent requests can pass. Urgent
- * requests may exceed the window by a reserve.
+ * Bounds the requests in progress by a window per group that follows the delay of tokens: it grows
+ * while first tokens come near their floor and the others at the pace aimed at, so that engines are
+ * kept busy, and shrinks when queues build up there or streams slow down. What does not fit waits
+ * here, where urgent requests can pass. Urgent requests may exceed the window by a reserve.
  */
 public final class DelayWindowGate implements CapacityGate {
     private static final long FLOOR_MEMORY_NS = Duration.ofSeconds(30).toNanos();
     private static final double USED_SHARE = 0.9;
     private static final double GROWTH = 4;
     private static final double SHRINK = 0.9;
+    private static final double PACE_STEP = 0.05;
+    private static final double PACE_TOLERANCE = 1.05;
+    private static final double PACE_FACTOR = 1.25;
+    private static final long PACE_MEMORY_NS = Duration.ofSeconds(60).toNanos();
+    private static final long PACE_PERIOD_NS = Duration.ofSeconds(1).toNanos();
 
     private final Settings mSettings;
     private final Scheduler mScheduler;
@@ -28,6 +33,7 @@
      * @param smallest smallest window
      * @param largest largest window
      * @param delayTarget queueing delay above the floor that the window aims at
+     * @param betweenTarget time between tokens that the window aims at
      * @param urgentPriority priority from which the reserve may be used
      * @param urgentReserve reserve as a share of the window
      */
@@ -36,11 +42,12 @@
             int smallest,
             int largest,
             Duration delayTarget,
+            Duration betweenTarget,
             int urgentPriority,
             double urgentReserve) {
         /** Settings for daily use. */
         public static final Settings DEFAULT =
-                new Settings(64, 4, 16_384, Duration.ofMillis(250), 6, 0.25);
+                new Settings(64, 4, 16_384, Duration.ofMillis(250), Duration.ofMillis(16), 6, 0.25);
     }
 
     /** Window of one group. */
@@ -50,6 +57,11 @@
         private double mFloorNs = Double.MAX_VALUE;
         private long mFloorAtNs;
         private long mShrunkAtNs = Long.MIN_VALUE;
+        private boolean mShrunk;
+        private double mFirstNs;
+        private double mBetweenNs;
+        private double mPaceFloorNs = Double.MAX_VALUE;
+        private long mPaceFloorAtNs;
 
         Window(double size) {
             mSize = size;
@@ -106,15 +118,57 @@
                 window.mFloorNs = elapsedNs;
                 window.mFloorAtNs = nowNs;
             }
-            if (elapsedNs > window.mFloorNs + mSettings.delayTarget().toNanos()) {
+            window.mFirstNs =
+                    window.mFirstNs == 0
+                            ? elapsedNs
+                            : window.mFirstNs + PACE_STEP * (elapsedNs - window.mFirstNs);
+            if (window.mFirstNs > window.mFloorNs + mSettings.delayTarget().toNanos()) {
                 shrink(window, nowNs, elapsedNs);
-            } else if (window.mInProgress >= window.mSize * USED_SHARE) {
-                double next = window.mSize + GROWTH / window.mSize;
-                window.mSize = Math.min(mSettings.largest(), next);
+            } else if (window.mInProgress >= window.mSize * USED_SHARE && isPaced(window)) {
+                double step = window.mShrunk ? GROWTH / window.mSize : 1;
+                window.mSize = Math.min(mSettings.largest(), window.mSize + step);
             }
         }
     }
 
+    /**
+     * Takes the pace of one stream.
+     *
+     * @param group key of the model version
+     * @param tokens tokens that came
+     * @param elapsed time in which they came
+     */
+    public void onTokens(String group, int tokens, Duration elapsed) {
+        Window window = window(group);
+        long nowNs = mScheduler.monotonicNs();
+        double betweenNs = elapsed.toNanos() / (double) tokens;
+        synchronized (window) {
+            window.mBetweenNs =
+                    window.mBetweenNs == 0
+                            ? betweenNs
+                            : window.mBetweenNs + PACE_STEP * (betweenNs - window.mBetweenNs);
+            boolean stale = nowNs - window.mPaceFloorAtNs > PACE_MEMORY_NS;
+            if (window.mBetweenNs < window.mPaceFloorNs || stale) {
+                window.mPaceFloorNs = window.mBetweenNs;
+                window.mPaceFloorAtNs = nowNs;
+            }
+            if (window.mBetweenNs > paceTargetNs(window) * PACE_TOLERANCE) {
+                shrink(window, nowNs, PACE_PERIOD_NS);
+            }
+        }
+    }
+
+    private boolean isPaced(Window window) {
+        return window.mBetweenNs <= paceTargetNs(window);
+    }
+
+    /** Returns the target, or what the engines can do if they cannot reach it. */
+    private double paceTargetNs(Window window) {
+        double reachable =
+                window.mPaceFloorNs == Double.MAX_VALUE ? 0 : PACE_FACTOR * window.mPaceFloorNs;
+        return Math.max((double) mSettings.betweenTarget().toNanos(), reachable);
+    }
+
     /**
      * Returns the window of a group.
      *
@@ -134,6 +188,7 @@
         boolean again = nowNs - elapsedNs >= window.mShrunkAtNs;
         if (window.mShrunkAtNs == Long.MIN_VALUE || again) {
             window.mShrunkAtNs = nowNs;
+            window.mShrunk = true;
             window.mSize = Math.max(mSettings.smallest(), window.mSize * SHRINK);
         }
     }
--- a/core/src/main/java/org/amaranthpick/core/admit/GatedFeedback.java
+++ b/core/src/main/java/org/amaranthpick/core/admit/GatedFeedback.java
@@ -5,7 +5,7 @@
 import org.amaranthpick.core.route.Chain;
 import org.amaranthpick.core.route.ChainFeedback;
 
-/** Passes feedback on and tells the delay of first tokens to a gate. */
+/** Passes feedback on and tells the delay of tokens to a gate. */
 public final class GatedFeedback implements ChainFeedback {
     private final ChainFeedback mNext;
     private final DelayWindowGate mGate;
@@ -14,7 +14,7 @@
      * Creates a feedback.
      *
      * @param next told of everything
-     * @param gate told of first tokens, by key of the model version
+     * @param gate told of the delay of tokens, by key of the model version
      */
     public GatedFeedback(ChainFeedback next, DelayWindowGate gate) {
         mNext = next;
@@ -32,6 +32,12 @@
         mNext.onFirstToken(chain, elapsed);
     }
 
+    @Override
+    public void onTokens(Chain chain, int tokens, Duration elapsed) {
+        mGate.onTokens(chain.modelVersion().key(), tokens, elapsed);
+        mNext.onTokens(chain, tokens, elapsed);
+    }
+
     @Override
     public void onEnded(Chain chain) {
         mNext.onEnded(chain);
--- a/core/src/main/java/org/amaranthpick/core/admit/ShareAccount.java
+++ b/core/src/main/java/org/amaranthpick/core/admit/ShareAccount.java
@@ -11,7 +11,7 @@
 final class ShareAccount {
     private static final double STEP = 0.3;
     private static final int SPARE_PLACES = 1;
-    private static final long IDLE_NS = 5_000_000_000L;
+    private static final long IDLE_NS = 1_000_000_000L;
 
     private final WorkspaceSpec mWorkspace;
     private final Map<Identity, Lease> mLeases = new HashMap<>();
--- a/core/src/main/java/org/amaranthpick/core/admit/SharedLimits.java
+++ b/core/src/main/java/org/amaranthpick/core/admit/SharedLimits.java
@@ -32,6 +32,7 @@
     private static final Duration ASK_AGAIN_DELAY = Duration.ofMillis(50);
     private static final long ANSWER_TIME_NS = Duration.ofMillis(200).toNanos();
     private static final long ASKS_PER_MS = 1_000;
+    private static final int TURNS_PER_RENEWAL = 2;
     private static final int TURNS_PER_DOMAIN = 4;
     private static final long STARVED_NS = Duration.ofMillis(500).toNanos();
 
@@ -116,13 +117,14 @@
     @Override
     public void step() {
         mTurn++;
-        if (mTurn % 2 == 0) {
+        boolean renew = mTurn % TURNS_PER_RENEWAL == 0;
+        if (renew) {
             mHomes.step();
         }
         synchronized (this) {
             mAccounts.values().forEach(ShareAccount::roll);
         }
-        askAll(true);
+        askAll(renew);
     }
 
     @Override
--- a/core/src/main/java/org/amaranthpick/core/observe/ClockOffset.java
+++ b/core/src/main/java/org/amaranthpick/core/observe/ClockOffset.java
@@ -6,7 +6,7 @@
  * latency or a clock that drifts is followed.
  */
 final class ClockOffset {
-    private static final double CREEP_PER_MS = 0.001;
+    private static final double CREEP_PER_MS = 0.0001;
 
     private double mOffsetMs = Double.NaN;
     private long mLastArrivalMs;
--- a/core/src/main/java/org/amaranthpick/core/request/Attempt.java
+++ b/core/src/main/java/org/amaranthpick/core/request/Attempt.java
@@ -7,6 +7,8 @@
 
 /** One attempt of a model request. Confined to the request's event queue. */
 final class Attempt {
+    private static final int TOKENS_PER_REPORT = 32;
+
     private final int mNumber;
     private final Chain mChain;
     private final Duration mFirstTokenLimit;
@@ -15,6 +17,8 @@
     private UpstreamStream mStream = new NoStream();
     private long mProgressNs;
     private boolean mFirstTokenSeen;
+    private int mTokens;
+    private long mToldNs;
     private boolean mEnded;
 
     Attempt(
@@ -73,7 +77,15 @@
         mProgressNs = nowNs;
         if (!mFirstTokenSeen) {
             mFirstTokenSeen = true;
+            mToldNs = nowNs;
             mFeedback.onFirstToken(mChain, Duration.ofNanos(nowNs - mStartedNs));
+            return;
+        }
+        mTokens++;
+        if (mTokens == TOKENS_PER_REPORT) {
+            mFeedback.onTokens(mChain, mTokens, Duration.ofNanos(nowNs - mToldNs));
+            mTokens = 0;
+            mToldNs = nowNs;
         }
     }
 
--- a/core/src/main/java/org/amaranthpick/core/route/ChainEstimate.java
+++ b/core/src/main/java/org/amaranthpick/core/route/ChainEstimate.java
@@ -8,8 +8,8 @@
  * @param cachedTokens prompt tokens that need not be computed at the first hop
  */
 record ChainEstimate(long firstTokenNs, long betweenTokensNs, int cachedTokens) {
-    private static final long BETWEEN_TARGET_NS = 25_000_000;
-    private static final int TOKENS_COUNTED = 32;
+    private static final long BETWEEN_TARGET_NS = 0;
+    private static final int TOKENS_COUNTED = 64;
 
     /**
      * Returns the number that chains are compared by: time to the first token, and what tokens
--- a/core/src/main/java/org/amaranthpick/core/route/ChainFeedback.java
+++ b/core/src/main/java/org/amaranthpick/core/route/ChainFeedback.java
@@ -21,6 +21,15 @@
      */
     void onFirstToken(Chain chain, Duration elapsed);
 
+    /**
+     * More tokens of an attempt came after the first.
+     *
+     * @param chain its chain
+     * @param tokens number of tokens, 1 or more
+     * @param elapsed time in which they came
+     */
+    default void onTokens(Chain chain, int tokens, Duration elapsed) {}
+
     /**
      * An attempt ended in any way; told exactly once after {@link #onSent}.
      *
--- a/core/src/main/java/org/amaranthpick/core/route/FirstTokenPredictor.java
+++ b/core/src/main/java/org/amaranthpick/core/route/FirstTokenPredictor.java
@@ -20,6 +20,7 @@
     private static final double STALENESS_RISK = 0.02;
     private static final long MAX_AGE_NS = Duration.ofSeconds(10).toNanos();
     private static final long SUSPECT_RISK_NS = Duration.ofMillis(300).toNanos();
+    private static final double BATCH_WAIT = 1.5;
     private static final double DOUBT_DISCOUNT = 0.5;
 
     private final Identity mEntry;
@@ -66,7 +67,7 @@
             firstNs += mDelays.delayNs(step.engine().id(), step.engine().id());
             long decodeNs = decodeNs(step, own);
             firstNs += decodeNs;
-            betweenNs += decodeNs;
+            betweenNs += (long) (decodeNs * BATCH_WAIT);
             long perToken = request.model().activationBytes();
             if (i > 0) {
                 Step before = steps.get(i - 1);
