Pass store and order tokens on; bound bodies at the listener

Cause: the store's token was read from the settings and not used; the listener's own bound on bodies stood at the library's default, under larger settings. Conclusion: settings do what they say.

--- a/core/src/main/java/org/amaranthpick/core/member/MembershipSettings.java
+++ b/core/src/main/java/org/amaranthpick/core/member/MembershipSettings.java
@@ -31,7 +31,7 @@
                     Duration.ofMillis(300),
                     Duration.ofSeconds(3),
                     Duration.ofSeconds(5),
-                    Duration.ofSeconds(5),
+                    Duration.ofSeconds(10),
                     Duration.ofMinutes(10),
                     Duration.ofMinutes(30),
                     2);
--- a/server/src/main/java/org/amaranthpick/server/caller/CallerListener.java
+++ b/server/src/main/java/org/amaranthpick/server/caller/CallerListener.java
@@ -48,6 +48,8 @@
                         .addHttpListener(address.getPort(), address.getAddress().getHostAddress())
                         .setServerOption(UndertowOptions.MAX_HEADERS, limits.maxHeaders())
                         .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
+                        .setServerOption(
+                                UndertowOptions.MAX_ENTITY_SIZE, (long) limits.maxBodyBytes())
                         .setServerOption(
                                 UndertowOptions.REQUEST_PARSE_TIMEOUT,
                                 (int) HEADER_TIMEOUT.toMillis())
--- a/server/src/main/java/org/amaranthpick/server/daemon/Foundation.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/Foundation.java
@@ -60,11 +60,11 @@
                                 settings.storeAddress(),
                                 mWorker,
                                 mScheduler,
-                                StoreSettings.defaults()),
+                                StoreSettings.defaults().withToken(settings.storeToken())),
                         mScheduler,
                         random(STORE_RANDOM),
                         BudgetSettings.ofShare(settings.storeCallsPerSecond()));
-        mUpstreams = new HttpUpstreamClient(mWorker, mScheduler, UpstreamSettings.defaults());
+        mUpstreams = new HttpUpstreamClient(mWorker, mScheduler, UpstreamSettings.defaults().withOrderToken(settings.orderToken()));
         mTokens = new WriterTokens(settings.host().key(), mBootNonce);
         mDecisions = new DecisionTrail(mScheduler, EXPLAINED_SUBJECTS);
         mMetrics.watch(mInvariants);
--- a/server/src/main/java/org/amaranthpick/server/daemon/Settings.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/Settings.java
@@ -20,6 +20,7 @@
  * @param peerAddress listener of other daemons, as they reach it
  * @param storeAddress base address of the platform's object API
  * @param storeToken credential for the object API, if it wants one
+ * @param orderToken credential shown to engines that check who orders them, if there are any
  * @param peerKeys shared keys of the daemons, the one to use first; a second is accepted during
  *     rotation
  * @param operatorToken credential of operators
@@ -39,6 +40,7 @@
         PeerAddress peerAddress,
         URI storeAddress,
         Optional<String> storeToken,
+        Optional<String> orderToken,
         List<String> peerKeys,
         String operatorToken,
         List<ListedHost> seeds,
--- a/server/src/main/java/org/amaranthpick/server/daemon/SettingsReader.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/SettingsReader.java
@@ -70,6 +70,7 @@
                         address("peer-address"),
                         parse("store-address", "http://127.0.0.1:1", SettingsReader::uri),
                         value("store-token"),
+                        value("order-token"),
                         peerKeys(),
                         secret("operator-token", MIN_TOKEN_LENGTH),
                         seeds(fleet),
--- a/tools/src/main/java/org/amaranthpick/tools/SettingsOptions.java
+++ b/tools/src/main/java/org/amaranthpick/tools/SettingsOptions.java
@@ -39,6 +39,11 @@
     @Option(name = "--store-token", description = "Credential for the object API.")
     private String mStoreToken;
 
+    @Option(
+            name = "--order-token",
+            description = "Credential shown to engines that check who orders them.")
+    private String mOrderToken;
+
     @Option(name = "--peer-key", description = "Shared key of the daemons.")
     private String mPeerKey;
 
@@ -105,6 +110,7 @@
         put(flags, "peer-address", mPeerAddress);
         put(flags, "store-address", mStoreAddress);
         put(flags, "store-token", mStoreToken);
+        put(flags, "order-token", mOrderToken);
         put(flags, "peer-key", mPeerKey);
         put(flags, "peer-key-previous", mPeerKeyPrevious);
         put(flags, "operator-token", mOperatorToken);
--- a/tools/src/main/java/org/amaranthpick/tools/StoreOptions.java
+++ b/tools/src/main/java/org/amaranthpick/tools/StoreOptions.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.annotations.Option;
 import java.net.URI;
 import java.security.SecureRandom;
+import java.util.Optional;
 import org.amaranthpick.core.config.ConfigurationStore;
 import org.amaranthpick.core.store.ObjectStore;
 import org.amaranthpick.core.store.WriterTokens;
@@ -17,6 +18,9 @@
     @Option(name = "--store-address", description = "Base address of the platform's object API.")
     private String mAddress = System.getenv(VARIABLE);
 
+    @Option(name = "--store-token", description = "Credential for the object API.")
+    private String mToken = System.getenv("AMARANTHPICK_STORE_TOKEN");
+
     @Option(
             name = "--operator",
             description = "Name of the operator, told to others who change the configuration.")
@@ -28,11 +32,9 @@
                     ExitCode.USAGE,
                     "the store is not named; give --store-address or set " + VARIABLE);
         }
+        StoreSettings settings = StoreSettings.defaults().withToken(Optional.ofNullable(mToken));
         return new HttpObjectStore(
-                URI.create(mAddress),
-                client.worker(),
-                client.scheduler(),
-                StoreSettings.defaults());
+                URI.create(mAddress), client.worker(), client.scheduler(), settings);
     }
 
     ConfigurationStore configuration(CommandClient client, ObjectStore store) {
