Wait for slow owners of claims instead of writing in their place

Cause: measured with owners held to an equal share of the store's writes, asks were written around owners that were only slow, by up to 440 daemons. Change: an owner confirms a call that it cannot answer at once and is then waited for; only one that does not confirm is bypassed. Throttled writes are not counted as writes.

--- a/bench/src/main/java/org/amaranthpick/bench/ClaimWriteRates.java
+++ b/bench/src/main/java/org/amaranthpick/bench/ClaimWriteRates.java
@@ -47,6 +47,8 @@
 public final class ClaimWriteRates {
     private static final int DAEMONS = 440;
     private static final int SIZE_CLAIMS = 150_000;
+    private static final double UNLIMITED = 1e6;
+    private static final double BURST_SECONDS = 5;
     private static final int REPEATS = 2_000;
     private static final Duration WARM_UP = Duration.ofSeconds(10);
     private static final Duration MEASURED = Duration.ofSeconds(30);
@@ -62,12 +64,14 @@
     private final List<Member> mMembers = new ArrayList<>();
     private final List<JournalClaims> mClaims = new ArrayList<>();
     private final Map<Identity, Map<Integer, PeerHandler>> mHandlers = new HashMap<>();
+    private final double mWritesPerDaemon;
     private final Histogram mWaitMs = new Histogram(3);
     private int mGranted;
     private int mRefused;
     private long mKeys;
 
-    private ClaimWriteRates(ClaimSettings settings, int daemons) {
+    private ClaimWriteRates(ClaimSettings settings, int daemons, double writesPerDaemon) {
+        mWritesPerDaemon = writesPerDaemon;
         for (int i = 0; i < daemons; i++) {
             Identity host = RequestBench.id(ResourceKind.HOST, "h" + i);
             mMembers.add(
@@ -93,25 +97,43 @@
     }
 
     /**
-     * Prints a table of rates, then the size of a full shard.
+     * Prints tables of rates, and the size of a full shard.
      *
-     * @param args {@code sizes} leaves the table out
+     * @param args {@code rates}, {@code shares} or {@code sizes}; all if none is given
      */
     public static void main(String[] args) {
-        if (args.length == 0) {
+        List<String> parts = args.length == 0 ? List.of("rates", "shares", "sizes") : List.of(args);
+        if (parts.contains("rates")) {
+            printHeader();
             printRates();
         }
-        printSizes();
+        if (parts.contains("shares")) {
+            printHeader();
+            printShares();
+        }
+        if (parts.contains("sizes")) {
+            printSizes();
+        }
     }
 
-    private static void printRates() {
+    private static void printHeader() {
         System.out.println(
                 "keyed/s  shards  interval ms  writes/s  reads/s  KB written/s"
                         + "  ms to grant p50/p99  CPU us per keyed request  refused");
+    }
+
+    /** Owners with no more writes than an equal share of 300 a second for all daemons. */
+    private static void printShares() {
+        for (double rate : new double[] {7, 67, 335}) {
+            run(rate, 64, 500, 300.0 / DAEMONS);
+        }
+    }
+
+    private static void printRates() {
         for (double rate : new double[] {7, 67, 335}) {
             for (int shards : new int[] {16, 64, 128}) {
                 for (int intervalMs : new int[] {250, 500}) {
-                    run(rate, shards, intervalMs);
+                    run(rate, shards, intervalMs, UNLIMITED);
                 }
             }
         }
@@ -119,7 +141,7 @@
 
     /** Prints what a settled key holds at the store and in the memory of its shard's owner. */
     private static void printSizes() {
-        ClaimWriteRates one = new ClaimWriteRates(settings(1, 500), 1);
+        ClaimWriteRates one = new ClaimWriteRates(settings(1, 500), 1, UNLIMITED);
         long before = usedBytes();
         for (int i = 0; i < SIZE_CLAIMS; i++) {
             String key = "key-" + i;
@@ -189,9 +211,9 @@
                 d.cacheTrust());
     }
 
-    private static void run(double rate, int shards, int intervalMs) {
+    private static void run(double rate, int shards, int intervalMs, double writesPerDaemon) {
         ClaimSettings settings = settings(shards, intervalMs);
-        ClaimWriteRates rates = new ClaimWriteRates(settings, DAEMONS);
+        ClaimWriteRates rates = new ClaimWriteRates(settings, DAEMONS, writesPerDaemon);
         rates.arrive(rate);
         rates.mScheduler.advance(WARM_UP);
         rates.measure(rate, shards, intervalMs);
@@ -306,8 +328,23 @@
         }
     }
 
-    /** Store that answers after a fixed time. */
+    /** Store that answers after a fixed time, within this daemon's share of its writes. */
     private final class SlowStore implements ObjectStore {
+        private double mSavedWrites = mWritesPerDaemon * BURST_SECONDS;
+        private long mRefilledNs = mScheduler.monotonicNs();
+
+        private boolean takeWrite() {
+            long nowNs = mScheduler.monotonicNs();
+            mSavedWrites += (nowNs - mRefilledNs) / 1e9 * mWritesPerDaemon;
+            mSavedWrites = Math.min(mSavedWrites, mWritesPerDaemon * BURST_SECONDS);
+            mRefilledNs = nowNs;
+            if (mSavedWrites < 1) {
+                return false;
+            }
+            mSavedWrites--;
+            return true;
+        }
+
         @Override
         public CompletionStage<ReadResult> read(String key) {
             return later(() -> mStore.read(key));
@@ -316,6 +353,11 @@
         @Override
         public CompletionStage<WriteResult> write(
                 String key, WriteCondition condition, byte[] value, WriterToken writer) {
+            if (!takeWrite()) {
+                double waitSeconds = (1 - mSavedWrites) / mWritesPerDaemon;
+                Duration wait = Duration.ofMillis((long) Math.ceil(waitSeconds * 1000));
+                return CompletableFuture.completedFuture(new WriteResult.Throttled(wait));
+            }
             return later(() -> mStore.write(key, condition, value, writer));
         }
 
--- a/core/src/main/java/org/amaranthpick/core/claim/JournalClaims.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/JournalClaims.java
@@ -112,7 +112,7 @@
                             : new ClaimResult.OutcomeUnknown();
             case REUSED -> new ClaimResult.Reused();
             case UNAVAILABLE, NOT_STORED -> new ClaimResult.Unavailable(reply.text());
-            case OUTCOME_UNKNOWN, SETTLED -> new ClaimResult.OutcomeUnknown();
+            case OUTCOME_UNKNOWN, SETTLED, PENDING -> new ClaimResult.OutcomeUnknown();
         };
     }
 
--- a/core/src/main/java/org/amaranthpick/core/claim/JournalFile.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/JournalFile.java
@@ -77,8 +77,8 @@
         mCompactAfterMs = nowMs + COMPACTION_RETRY_MS;
         String name = "segment-" + mTokens.next();
         byte[] bytes = compaction.get().bytes();
-        mCounters.onWrite(bytes.length);
         return mStore.write(mPath + name, new WriteCondition.Absent(), bytes, mTokens.next())
+                .thenApply(result -> counted(result, bytes.length))
                 .thenCompose(
                         result -> {
                             if (result instanceof WriteResult.Applied) {
@@ -162,11 +162,18 @@
             String remedy = "journal of " + head.length + " bytes is full; wait for expiry";
             return done(new WriteResult.Unavailable(remedy));
         }
-        mCounters.onWrite(head.length);
         return mStore.write(mPath + HEAD, mHeadCondition, head, mTokens.next())
+                .thenApply(result -> counted(result, head.length))
                 .thenApply(result -> onHeadWritten(next, result));
     }
 
+    private WriteResult counted(WriteResult result, int bytes) {
+        if (!(result instanceof WriteResult.Throttled)) {
+            mCounters.onWrite(bytes);
+        }
+        return result;
+    }
+
     private WriteResult onHeadWritten(ClaimJournal next, WriteResult result) {
         if (result instanceof WriteResult.Applied applied) {
             mHeadCondition = new WriteCondition.AtVersion(applied.version());
--- a/core/src/main/java/org/amaranthpick/core/claim/PeerCalls.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/PeerCalls.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import org.amaranthpick.core.name.Identity;
@@ -18,10 +19,11 @@
 
 /** Calls to the shards of other daemons, and answers to theirs. */
 final class PeerCalls {
+    private static final String SLOW = "the shard's owner gave no answer in time";
+
     private final PeerNetwork mNetwork;
     private final Scheduler mScheduler;
-    private final Map<Long, CompletableFuture<Optional<ShardReply>>> mWaiting =
-            new ConcurrentHashMap<>();
+    private final Map<Long, Waiting> mWaiting = new ConcurrentHashMap<>();
     private final Set<Served> mServed = Collections.newSetFromMap(new RecentCalls());
     private final AtomicLong mCallId;
 
@@ -55,29 +57,54 @@
      * @param owner host of the daemon
      * @param operation operation
      * @param validFor time for which the operation is wanted
-     * @param timeout time to wait for the reply
-     * @return completes with the reply, or empty at the timeout
+     * @param timeout time to wait for a sign of the owner
+     * @return completes with the reply, unavailable after {@code validFor}; empty if the owner gave
+     *     no sign
      */
     CompletableFuture<Optional<ShardReply>> call(
             Identity owner, ClaimOperation operation, Duration validFor, Duration timeout) {
         long callId = mCallId.incrementAndGet();
-        CompletableFuture<Optional<ShardReply>> reply = new CompletableFuture<>();
-        mWaiting.put(callId, reply);
-        Cancellable timer = mScheduler.schedule(timeout, () -> complete(callId, Optional.empty()));
+        Waiting waiting = new Waiting(new CompletableFuture<>(), new AtomicBoolean());
+        mWaiting.put(callId, waiting);
+        Cancellable signTimer = mScheduler.schedule(timeout, () -> onNoSign(callId));
+        Cancellable replyTimer =
+                mScheduler.schedule(
+                        validFor,
+                        () -> complete(callId, Optional.of(ShardReply.unavailable(SLOW))));
         mNetwork.send(owner, new ClaimMessage.Call(callId, operation, validFor));
-        return reply.whenComplete((r, error) -> timer.cancel());
+        return waiting.reply()
+                .whenComplete(
+                        (reply, error) -> {
+                            signTimer.cancel();
+                            replyTimer.cancel();
+                        });
+    }
+
+    private void onNoSign(long callId) {
+        Waiting waiting = mWaiting.get(callId);
+        if (waiting != null && !waiting.confirmed().get()) {
+            complete(callId, Optional.empty());
+        }
     }
 
     private void onReply(PeerMessage message) {
-        if (message instanceof ClaimMessage.Reply reply) {
+        if (!(message instanceof ClaimMessage.Reply reply)) {
+            return;
+        }
+        if (reply.reply().kind() != ShardReply.Kind.PENDING) {
             complete(reply.callId(), Optional.of(reply.reply()));
+            return;
+        }
+        Waiting waiting = mWaiting.get(reply.callId());
+        if (waiting != null) {
+            waiting.confirmed().set(true);
         }
     }
 
     private void complete(long callId, Optional<ShardReply> reply) {
-        CompletableFuture<Optional<ShardReply>> waiting = mWaiting.remove(callId);
+        Waiting waiting = mWaiting.remove(callId);
         if (waiting != null) {
-            waiting.complete(reply);
+            waiting.reply().complete(reply);
         }
     }
 
@@ -86,13 +113,14 @@
             PeerMessage message,
             Function<ClaimMessage.Call, CompletableFuture<ShardReply>> shards) {
         if (message instanceof ClaimMessage.Call call && isFirst(from, call.callId())) {
+            CompletableFuture<ShardReply> reply = shards.apply(call);
+            if (!reply.isDone()) {
+                ShardReply pending = ShardReply.of(ShardReply.Kind.PENDING);
+                mNetwork.send(from, new ClaimMessage.Reply(call.callId(), pending));
+            }
             var unused =
-                    shards.apply(call)
-                            .thenAccept(
-                                    reply ->
-                                            mNetwork.send(
-                                                    from,
-                                                    new ClaimMessage.Reply(call.callId(), reply)));
+                    reply.thenAccept(
+                            r -> mNetwork.send(from, new ClaimMessage.Reply(call.callId(), r)));
         }
     }
 
@@ -102,6 +130,15 @@
         }
     }
 
+    /**
+     * Call that waits for its reply.
+     *
+     * @param reply completes with the reply
+     * @param confirmed true once the owner said that it has the call
+     */
+    private record Waiting(
+            CompletableFuture<Optional<ShardReply>> reply, AtomicBoolean confirmed) {}
+
     /**
      * Call that was served.
      *
--- a/core/src/main/java/org/amaranthpick/core/claim/ShardReply.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ShardReply.java
@@ -30,7 +30,9 @@
         /** The operation was not stored and never will be. */
         NOT_STORED(6),
         /** The claim is settled. */
-        SETTLED(7);
+        SETTLED(7),
+        /** The owner has the operation and will answer; sent between daemons only. */
+        PENDING(8);
 
         private final int mCode;
 
--- a/core/src/main/java/org/amaranthpick/core/claim/ShardRouter.java
+++ b/core/src/main/java/org/amaranthpick/core/claim/ShardRouter.java
@@ -13,7 +13,8 @@
 
 /**
  * Brings operations to the daemon that ranks first for their shard, so that many share one write.
- * One that gets no answer in time is performed here, which costs a conflict at most.
+ * One that its owner does not even confirm in time is performed here, which costs a conflict at
+ * most; an owner that is slow is waited for, lest all daemons write in its place.
  */
 final class ShardRouter {
     private static final String NO_ANSWER = "the claim was not answered in time";
@@ -66,7 +67,7 @@
         if (owner.isEmpty()) {
             return mShards.perform(operation, validFor).thenApply(Performed::here);
         }
-        Duration timeout = peerTimeout(operation);
+        Duration timeout = mSettings.peerTimeout();
         Duration rest = validFor.minus(timeout);
         return mCalls.call(owner.get(), operation, validFor, timeout)
                 .thenCompose(
@@ -78,12 +79,6 @@
                                                 .thenApply(Performed::insteadOfOwner));
     }
 
-    private Duration peerTimeout(ClaimOperation operation) {
-        return operation instanceof ClaimOperation.Settle
-                ? mSettings.peerTimeout().plus(mSettings.settleLinger())
-                : mSettings.peerTimeout();
-    }
-
     /** Returns the daemon that writes the journal for all, empty if it is this one. */
     private Optional<Identity> otherOwnerOf(KeyHash key) {
         String shard = ShardStore.path(key.shard(mSettings.shards()));
--- a/core/src/test/java/org/amaranthpick/core/request/KeyedFaultsTest.java
+++ b/core/src/test/java/org/amaranthpick/core/request/KeyedFaultsTest.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.stream.Stream;
 import org.amaranthpick.core.claim.ClaimSettings;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -67,6 +68,33 @@
         check(daemons, event, List.of(first, atOnce, later));
     }
 
+    @Test
+    void slowOwnerIsWaitedForAndNotWrittenAround() {
+        Daemons daemons = new Daemons(new Random(1), ClaimSettings.defaults(), claims -> claims);
+        for (Daemons.Daemon daemon : daemons.mDaemons) {
+            RequestFixture fixture = daemon.mFixture;
+            CallerRequest warm = fixture.request("warm", false, Optional.of("warm"));
+            fixture.mRouter.submit(warm, new RecordingSink());
+            daemons.mTime.advance(LONG);
+        }
+        daemons.mFaults.mThrottled = 1;
+        List<Long> before = reads(daemons);
+        for (int i = 0; i < Daemons.COUNT; i++) {
+            submit(daemons, i, "r" + i, new RecordingSink());
+        }
+        daemons.mTime.advance(Duration.ofMillis(2_500));
+        List<Long> after = reads(daemons);
+        int readers = 0;
+        for (int i = 0; i < Daemons.COUNT; i++) {
+            readers += after.get(i) > before.get(i) ? 1 : 0;
+        }
+        assertEquals(1, readers);
+    }
+
+    private static List<Long> reads(Daemons daemons) {
+        return daemons.mDaemons.stream().map(d -> d.mClaims.counters().reads()).toList();
+    }
+
     private static RequestHandle submit(
             Daemons daemons, int index, String requestId, RecordingSink sink) {
         RequestFixture fixture = daemons.mDaemons.get(index).mFixture;
