--- a/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
@@ -25,12 +25,13 @@
     private final LeaseKeeper mLease;
     private final ShardJournal mJournal;
     private final HoldAnnouncer mHolds;
-    private final TrustTable mTrust;
+    private final EngineHealth mHealth;
     private final OrderSender mSender;
     private final OrderIssuer mIssuer;
     private final ModelNeeds mNeeds;
     private Map<Identity, List<UpstreamSpec.Holding>> mTold = new HashMap<>();
     private final Map<Identity, Long> mPinnedUntilNs = new HashMap<>();
+    private Optional<PlanInput> mLastInput = Optional.empty();
     private Set<Identity> mUnusable = Set.of();
     private long mFence;
     private long mFenceFloor;
@@ -58,10 +59,11 @@
         mLease = new LeaseKeeper(domain.key(), context, this, this::fenceFloor);
         mJournal = new ShardJournal(domain, context, this);
         mHolds = new HoldAnnouncer(domain, context, holds);
-        mTrust = new TrustTable(context.scheduler());
+        TrustTable trust = new TrustTable(context.scheduler());
+        mHealth = new EngineHealth(context, trust);
         mSender =
                 new OrderSender(
-                        domain, context, this, mJournal, mLease, mHolds, mTrust, this::onFenced);
+                        domain, context, this, mJournal, mLease, mHolds, trust, this::onFenced);
         mIssuer = new OrderIssuer(domain, context, mHolds, budget, mSender);
         mNeeds = new ModelNeeds(context, policy.demand());
     }
@@ -148,8 +150,10 @@
             mTold = mJournal.record().holdings();
             mSender.start();
             mIssuer.start();
+            mHealth.start();
             mHolds.start(lease.fence());
             mNextPlanNs = mContext.scheduler().monotonicNs();
+            mLastInput = Optional.empty();
         }
     }
 
@@ -186,7 +190,7 @@
     }
 
     private void control(Configuration configuration, Lease lease) {
-        EngineSurvey survey = new EngineSurvey(configuration, mContext, mTrust::trusted);
+        EngineSurvey survey = new EngineSurvey(configuration, mContext.board(), mHealth, mDomain);
         long nowNs = mContext.scheduler().monotonicNs();
         if (nowNs >= mNextPlanNs) {
             mNextPlanNs = nowNs + mContext.settings().planPeriod().toNanos();
@@ -199,7 +203,8 @@
     private void plan(Configuration configuration, EngineSurvey survey) {
         logUsability(survey);
         List<ModelNeed> needs = mNeeds.current(configuration);
-        Set<Identity> pinned = pinned();
+        Set<Identity> pinned = new HashSet<>(pinned());
+        pinned.addAll(survey.unknown());
         PlanInput input =
                 new PlanInput(
                         survey.views(this::heldOrTold),
@@ -207,6 +212,10 @@
                         Set.of(mDomain),
                         pinned,
                         cutOff(configuration));
+        if (mLastInput.filter(input::equals).isPresent()) {
+            return;
+        }
+        mLastInput = Optional.of(input);
         Plan plan = mPolicy.planner().plan(input);
         logChanges(survey, plan);
         mTold = new HashMap<>(plan.targets());
@@ -247,10 +256,10 @@
     private void logUsability(EngineSurvey survey) {
         Set<Identity> unusable = new HashSet<>();
         for (EngineSurvey.Entry entry : survey.entries().values()) {
-            if (!entry.usable() && entry.spec().domain().equals(mDomain)) {
+            if (entry.out() && entry.spec().domain().equals(mDomain)) {
                 unusable.add(entry.spec().id());
                 if (!mUnusable.contains(entry.spec().id())) {
-                    log(entry.spec().id(), "left out of plans: " + entry.fault().orElse(""));
+                    log(entry.spec().id(), "left out of plans: " + entry.verdict().reason());
                 }
             }
         }
--- a/server/src/main/java/org/amaranthpick/server/peer/PeerTransport.java
+++ b/server/src/main/java/org/amaranthpick/server/peer/PeerTransport.java
@@ -28,8 +28,16 @@
  */
 public final class PeerTransport implements PeerNetwork, AutoCloseable {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    /** Connections that may wait to be accepted: all daemons may open theirs at once. */
+    private static final int BACKLOG = 1024;
+
     private static final OptionMap ACCEPT_OPTIONS =
-            OptionMap.create(Options.TCP_NODELAY, true, Options.REUSE_ADDRESSES, true);
+            OptionMap.builder()
+                    .set(Options.TCP_NODELAY, true)
+                    .set(Options.REUSE_ADDRESSES, true)
+                    .set(Options.BACKLOG, BACKLOG)
+                    .getMap();
 
     private final PeerContext mContext;
     private final FrameCodec mCodec;
@@ -121,6 +129,15 @@
         return mAcceptor.getLocalAddress(InetSocketAddress.class);
     }
 
+    /**
+     * Counts the peers that are or were lately sent to.
+     *
+     * @return number of links
+     */
+    public int links() {
+        return mLinks.size();
+    }
+
     /**
      * Returns the counters.
      *
@@ -152,7 +169,8 @@
     }
 
     private PeerLink link(Identity peer) {
-        return new PeerLink(mContext, peer, mWorker.getIoThread());
+        return new PeerLink(
+                mContext, peer, mWorker.getIoThread(), idle -> mLinks.remove(peer, idle));
     }
 
     private void onAcceptable(AcceptingChannel<StreamConnection> acceptor) {
