Let handlers bound bodies, so that an outcome is told

Change: the bound is set on each exchange before its handler runs. Conclusion: a body over the bound is told as not run, in both transfer codings.

--- a/server/src/main/java/org/amaranthpick/server/caller/BodyReader.java
+++ b/server/src/main/java/org/amaranthpick/server/caller/BodyReader.java
@@ -35,7 +35,6 @@
             onFault.accept(tooLarge());
             return;
         }
-        exchange.setMaxEntitySize(mMaxBytes);
         AtomicBoolean done = new AtomicBoolean();
         Cancellable timer =
                 mScheduler.schedule(
--- a/server/src/main/java/org/amaranthpick/server/caller/CallerContext.java
+++ b/server/src/main/java/org/amaranthpick/server/caller/CallerContext.java
@@ -63,6 +63,7 @@
             String requestId,
             int inProgress,
             BiConsumer<Configuration, WorkspaceSpec> then) {
+        exchange.setMaxEntitySize(mLimits.maxBodyBytes());
         exchange.dispatch(
                 exchange.getIoThread(), () -> admitNow(exchange, requestId, inProgress, then));
     }
--- a/server/src/main/java/org/amaranthpick/server/caller/CallerListener.java
+++ b/server/src/main/java/org/amaranthpick/server/caller/CallerListener.java
@@ -20,6 +20,9 @@
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
     private static final Duration HEADER_TIMEOUT = Duration.ofSeconds(10);
 
+    /** The listener answers a body over its own bound without an outcome; handlers set theirs. */
+    private static final long BOUNDED_PER_REQUEST = -1;
+
     private final Undertow mServer;
 
     /**
@@ -48,8 +51,7 @@
                         .addHttpListener(address.getPort(), address.getAddress().getHostAddress())
                         .setServerOption(UndertowOptions.MAX_HEADERS, limits.maxHeaders())
                         .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
-                        .setServerOption(
-                                UndertowOptions.MAX_ENTITY_SIZE, (long) limits.maxBodyBytes())
+                        .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, BOUNDED_PER_REQUEST)
                         .setServerOption(
                                 UndertowOptions.REQUEST_PARSE_TIMEOUT,
                                 (int) HEADER_TIMEOUT.toMillis())
--- a/server/src/main/java/org/amaranthpick/server/daemon/Foundation.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/Foundation.java
@@ -64,7 +64,11 @@
                         mScheduler,
                         random(STORE_RANDOM),
                         BudgetSettings.ofShare(settings.storeCallsPerSecond()));
-        mUpstreams = new HttpUpstreamClient(mWorker, mScheduler, UpstreamSettings.defaults().withOrderToken(settings.orderToken()));
+        mUpstreams =
+                new HttpUpstreamClient(
+                        mWorker,
+                        mScheduler,
+                        UpstreamSettings.defaults().withOrderToken(settings.orderToken()));
         mTokens = new WriterTokens(settings.host().key(), mBootNonce);
         mDecisions = new DecisionTrail(mScheduler, EXPLAINED_SUBJECTS);
         mMetrics.watch(mInvariants);
