Split hosts within domains in the random run of the configuration

Cause: the random run cut whole domains only.

Change: an action that splits the hosts in two, across and within domains.

--- a/core/src/test/java/org/amaranthpick/core/config/ConfigurationRandomRunTest.java
+++ b/core/src/test/java/org/amaranthpick/core/config/ConfigurationRandomRunTest.java
@@ -27,6 +27,7 @@
         PUBLISH,
         PUBLISH_WITH_LOST_ANSWER,
         CUT_PEERS,
+        SPLIT_HOSTS,
         HEAL_PEERS,
         STORE_DOWN,
         STORE_UP,
@@ -85,6 +86,9 @@
             case CUT_PEERS ->
                     cluster.mMembers.mPeers.setCut(
                             (from, to) -> domainOf(from) == domain != (domainOf(to) == domain));
+            case SPLIT_HOSTS ->
+                    cluster.mMembers.mPeers.setCut(
+                            (from, to) -> half(from, step.target()) != half(to, step.target()));
             case HEAL_PEERS -> cluster.mMembers.mPeers.setCut((from, to) -> false);
             case STORE_DOWN -> cluster.pathOf(domain).mDown = true;
             case STORE_UP -> cluster.pathOf(domain).mDown = false;
@@ -137,6 +141,12 @@
         }
     }
 
+    /** Splits the hosts in two, across and within domains. */
+    private static boolean half(Identity host, int target) {
+        int number = Integer.parseInt(host.name().substring(1));
+        return ((number * 7 + target) >> (target % 3)) % 2 == 0;
+    }
+
     private static int domainOf(Identity host) {
         return Integer.parseInt(host.name().substring(1)) / PER_DOMAIN;
     }
