--- a/core/src/main/java/org/amaranthpick/core/observe/Assignments.java
+++ b/core/src/main/java/org/amaranthpick/core/observe/Assignments.java
@@ -65,6 +65,12 @@
         return mAssigned;
     }
 
+    /** Tells whether an upstream is part of the configuration in force; true before the first. */
+    boolean isConfigured(Identity upstream) {
+        Optional<Configuration> configuration = mConfiguration.current();
+        return configuration.isEmpty() || configuration.get().upstream(upstream).isPresent();
+    }
+
     private static List<Identity> hosts(List<Member> members) {
         return members.stream().map(Member::host).toList();
     }
--- a/core/src/main/java/org/amaranthpick/core/observe/UpstreamPoller.java
+++ b/core/src/main/java/org/amaranthpick/core/observe/UpstreamPoller.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,12 +22,14 @@
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final Duration PERIOD = Duration.ofMillis(500);
     private static final int LOST_AFTER_FAILURES = 3;
+    private static final int STEPS_PER_CLEANUP = 120;
 
     private final Blackboard mBoard;
     private final Assignments mAssignments;
     private final UpstreamClient mClient;
     private final Scheduler mScheduler;
     private final Map<Identity, Poll> mPolls = new HashMap<>();
+    private int mSteps;
 
     /** State of polling one upstream. */
     private static final class Poll {
@@ -59,6 +62,23 @@
             mPolls.keySet().retainAll(assigned.keySet());
         }
         assigned.values().forEach(assignment -> poll(assignment.spec()));
+        mSteps++;
+        if (mSteps % STEPS_PER_CLEANUP == 0) {
+            forgetRemoved();
+        }
+    }
+
+    /** Drops the observations of upstreams that are configured no more. */
+    private void forgetRemoved() {
+        List<Identity> removed = new ArrayList<>();
+        mBoard.upstreams()
+                .forEach(
+                        (upstream, seen) -> {
+                            if (!mAssignments.isConfigured(upstream)) {
+                                removed.add(upstream);
+                            }
+                        });
+        removed.forEach(upstream -> mBoard.upstreams().remove(upstream));
     }
 
     private void poll(UpstreamSpec upstream) {
--- a/core/src/test/java/org/amaranthpick/core/observe/ObservationTest.java
+++ b/core/src/test/java/org/amaranthpick/core/observe/ObservationTest.java
@@ -174,4 +174,19 @@
             }
         }
     }
+
+    /** What is known of an upstream goes some time after the configuration drops it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"kl-a-e1", "kl-b-e0"})
+    void removedUpstreamIsForgotten(String engine) {
+        start(0);
+        mScheduler.advance(Duration.ofSeconds(30));
+        mFleet.without(engine).build();
+        mScheduler.advance(Duration.ofSeconds(90));
+        for (Member member : mAll) {
+            Blackboard board = mBoards.get(member.host());
+            assertTrue(board.upstreams().get(Fleet.engine(engine)).isEmpty());
+            assertEquals(14, board.upstreams().size());
+        }
+    }
 }
