Let an answer half given wait for a chain; end serve when an address is in use

Cause: a stage that dies mid-answer with no replica left ended the answer after about 140 ms of retries, while engines come back or are replaced within seconds; and a taken address left the process alive without a listener. Change: such an answer looks for a chain each 100 ms for up to 20 s, without the retry budget, since nothing is sent; a request that has told nothing is still refused at once. What was opened is closed when the daemon cannot start.

--- a/core/src/main/java/org/amaranthpick/core/request/Exchange.java
+++ b/core/src/main/java/org/amaranthpick/core/request/Exchange.java
@@ -33,6 +33,7 @@
     private final Set<Identity> mExcluded = new HashSet<>(1);
     private Phase mPhase = new Phase.Fresh();
     private int mFailures;
+    private Duration mWaited = Duration.ZERO;
     private Cancellable mAdmission = () -> {};
     private Cancellable mDeadlineTimer = () -> {};
     private Optional<Permit> mPermit = Optional.empty();
@@ -222,9 +223,29 @@
         record(
                 DecisionKind.RETRY,
                 "attempt follows in " + wait.get().toMillis() + " ms: " + reason);
-        mPhase =
-                new Phase.BackingOff(
-                        mParts.scheduler().schedule(wait.get(), () -> post(this::resumeAfterWait)));
+        backOff(wait.get());
+    }
+
+    /**
+     * Waits a little for a chain. It costs nothing of the retry budget, since nothing is sent.
+     *
+     * @param reason what is missing
+     * @return false if the request has waited for long enough or its deadline comes first
+     */
+    final boolean lookAgain(String reason) {
+        Duration wait = mSettings.capacityRecheck();
+        boolean patient = mWaited.plus(wait).compareTo(mSettings.capacityPatience()) <= 0;
+        if (!patient || endsBefore(wait)) {
+            return false;
+        }
+        if (mWaited.isZero()) {
+            record(
+                    DecisionKind.RETRY,
+                    "waits up to " + mSettings.capacityPatience().toSeconds() + " s: " + reason);
+        }
+        mWaited = mWaited.plus(wait);
+        backOff(wait);
+        return true;
     }
 
     /**
@@ -349,6 +370,12 @@
         }
     }
 
+    private void backOff(Duration wait) {
+        mPhase =
+                new Phase.BackingOff(
+                        mParts.scheduler().schedule(wait, () -> post(this::resumeAfterWait)));
+    }
+
     private void resumeAfterWait() {
         if (mPhase instanceof Phase.BackingOff) {
             run();
--- a/core/src/main/java/org/amaranthpick/core/request/ModelExchange.java
+++ b/core/src/main/java/org/amaranthpick/core/request/ModelExchange.java
@@ -79,12 +79,21 @@
             record(DecisionKind.CHAIN, describe(chosen));
             send(chosen);
         } else if (decision instanceof ChainDecision.NoChain none) {
-            record(DecisionKind.CHAIN, "none: " + none.reason());
             excluded().clear();
-            retryOrGiveUp(none.reason(), none.retryAfter(), RefusalReason.NO_CAPACITY);
+            onNoChain(none);
         }
     }
 
+    /** An answer half given waits for a chain; a request that has told nothing is refused soon. */
+    private void onNoChain(ChainDecision.NoChain none) {
+        boolean halfGiven = tokensEmitted() > 0 && mayRepeat();
+        if (halfGiven && lookAgain(none.reason())) {
+            return;
+        }
+        record(DecisionKind.CHAIN, "none: " + none.reason());
+        retryOrGiveUp(none.reason(), none.retryAfter(), RefusalReason.NO_CAPACITY);
+    }
+
     @Override
     void stopAttempt() {
         mAttempt.ifPresent(attempt -> close(attempt, AttemptHistory.Fate.LOST));
--- a/core/src/main/java/org/amaranthpick/core/request/RequestSettings.java
+++ b/core/src/main/java/org/amaranthpick/core/request/RequestSettings.java
@@ -15,6 +15,8 @@
  * @param maxBufferedTokens tokens held for a paused caller or ahead of a missing one
  * @param serviceTimeout time for one service call without a deadline
  * @param maxKeptAnswerBytes longest answer kept for repeats of an idempotency key
+ * @param capacityPatience longest time that an answer half given waits for a chain
+ * @param capacityRecheck time between two looks for a chain
  * @param retryAfter time told to callers where nothing better is known
  */
 public record RequestSettings(
@@ -27,6 +29,8 @@
         int maxBufferedTokens,
         Duration serviceTimeout,
         int maxKeptAnswerBytes,
+        Duration capacityPatience,
+        Duration capacityRecheck,
         Duration retryAfter) {
 
     /**
@@ -45,6 +49,8 @@
                 1024,
                 Duration.ofSeconds(30),
                 2048,
+                Duration.ofSeconds(20),
+                Duration.ofMillis(100),
                 Duration.ofSeconds(1));
     }
 }
--- a/server/src/main/java/org/amaranthpick/server/daemon/Daemon.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/Daemon.java
@@ -29,8 +29,9 @@
     private final AtomicBoolean mClosed = new AtomicBoolean();
     private final CompletableFuture<Void> mDrained = new CompletableFuture<>();
 
-    private Daemon(Settings settings) throws IOException {
-        mBase = new Foundation(settings);
+    private Daemon(Foundation base) throws IOException {
+        mBase = base;
+        Settings settings = base.settings();
         mControl = new ControlPlane(mBase);
         mRequests = new RequestPath(mBase, mControl);
         Router router = new MeteredRouter(mRequests.router(), mBase.metrics(), mBase.scheduler());
@@ -59,10 +60,16 @@
      * @throws IOException if a listener cannot be opened
      */
     public static Daemon start(Settings settings) throws IOException {
-        Daemon daemon = new Daemon(settings);
-        daemon.mControl.start();
-        sLogger.atInfo().log("%s started on %s.", PREFIX, settings.host());
-        return daemon;
+        Foundation base = new Foundation(settings);
+        try {
+            Daemon daemon = new Daemon(base);
+            daemon.mControl.start();
+            sLogger.atInfo().log("%s started on %s.", PREFIX, settings.host());
+            return daemon;
+        } catch (IOException | RuntimeException e) {
+            base.close();
+            throw new IOException(e.getMessage(), e);
+        }
     }
 
     /**
--- a/tools/src/test/java/org/amaranthpick/tools/MainTest.java
+++ b/tools/src/test/java/org/amaranthpick/tools/MainTest.java
@@ -6,6 +6,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -47,6 +49,28 @@
         assertTrue(mErr.size() > 0);
     }
 
+    @Test
+    void addressInUseEndsTheCommandWithARemedy() throws IOException {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String used = "127.0.0.1:" + taken.getLocalPort();
+            String[] args = {
+                "serve",
+                "--fleet=f",
+                "--host-name=h",
+                "--domain=d",
+                "--region=r",
+                "--caller-address=" + used,
+                "--operator-address=" + used,
+                "--peer-address=" + used,
+                "--store-address=http://" + used,
+                "--peer-key=" + "k".repeat(32),
+                "--operator-token=" + "t".repeat(16)
+            };
+            assertEquals(ExitCode.USAGE, run(args));
+            assertTrue(mErr.toString(StandardCharsets.UTF_8).contains("check the addresses"));
+        }
+    }
+
     @Test
     void unknownOptionIsAUsageFault() {
         assertEquals(ExitCode.USAGE, run("serve", "--colour", "red"));
