--- /dev/null
+++ b/server/src/test/java/org/amaranthpick/server/metrics/DaemonMetricsTest.java
@@ -0,0 +1,26 @@
+package org.amaranthpick.server.metrics;
+
+import java.time.Duration;
+import org.amaranthpick.core.invariant.Invariants;
+import org.amaranthpick.core.name.Identity;
+import org.amaranthpick.core.name.ResourceKind;
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Test;
+
+class DaemonMetricsTest {
+    /** Both fleets use the workspace name; their series must not mix. */
+    @Test
+    void namesAndLabels() {
+        DaemonMetrics metrics = new DaemonMetrics();
+        metrics.watch(new Invariants());
+        for (String fleet : new String[] {"kenanga", "viseu"}) {
+            metrics.onRequest(new Identity(fleet, ResourceKind.WORKSPACE, "desk"));
+            metrics.onOutcome(fleet, "model", "answered");
+        }
+        metrics.onRefusal("viseu", "limit_reached");
+        metrics.onFirstToken("kenanga", Duration.ofMillis(300));
+        metrics.onToken("kenanga", Duration.ofMillis(20));
+        metrics.gauge("example", "A value read at each scrape.", () -> 7);
+        Approvals.verify(metrics.text());
+    }
+}
