Wait for the connection in the test that wants it reused

Cause: the end of an answer is told with its last line, before the response's closing chunk is read; when both came apart, the next call found the connection in use and opened a second one. Seen once in HttpUpstreamClientTest.connectionIsReused (2 for 1). Ruled out: telling the end later, which would cost every answer a read. Change: a counter of connections given back; the test waits for it and asks the same. Conclusion: the test was wrong, the pool is right.

--- a/server/src/main/java/org/amaranthpick/server/http/ConnectorCounters.java
+++ b/server/src/main/java/org/amaranthpick/server/http/ConnectorCounters.java
@@ -6,6 +6,7 @@
 public final class ConnectorCounters {
     private final LongAdder mOpened = new LongAdder();
     private final LongAdder mReused = new LongAdder();
+    private final LongAdder mReleased = new LongAdder();
     private final LongAdder mReplaced = new LongAdder();
     private final LongAdder mSilent = new LongAdder();
     private final LongAdder mFailed = new LongAdder();
@@ -20,6 +21,11 @@
         mReused.increment();
     }
 
+    /** Counts a connection given back after a call. */
+    void countReleased() {
+        mReleased.increment();
+    }
+
     /** Counts a pooled connection that was replaced before any byte was sent. */
     void countReplaced() {
         mReplaced.increment();
@@ -53,6 +59,15 @@
         return mReused.sum();
     }
 
+    /**
+     * Returns the connections given back after a call.
+     *
+     * @return count since the start
+     */
+    public long released() {
+        return mReleased.sum();
+    }
+
     /**
      * Returns the pooled connections replaced by a fresh one before any byte was sent.
      *
--- a/server/src/main/java/org/amaranthpick/server/http/HostPool.java
+++ b/server/src/main/java/org/amaranthpick/server/http/HostPool.java
@@ -143,11 +143,13 @@
         }
         Taker next = mWaiting.pollFirst();
         if (next != null) {
+            mCounters.countReleased();
             mCounters.countReused();
             next.onConnection(connection, true);
             return;
         }
         mIdle.addLast(new Idle(connection, mScheduler.monotonicNs()));
+        mCounters.countReleased();
         planSweep();
     }
 
--- a/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamClientTest.java
+++ b/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamClientTest.java
@@ -203,6 +203,7 @@
     @Test
     void connectionIsReused() throws InterruptedException {
         run("r1");
+        Await.until(() -> mClient.counters().released() == 1, "the connection given back");
         run("r2");
         assertEquals(1, mClient.counters().opened());
         assertEquals(1, mClient.counters().reused());
