--- a/core/src/main/java/org/amaranthpick/core/placement/PlacementCodecs.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/PlacementCodecs.java
@@ -8,6 +8,7 @@
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.name.ResourceKind;
 import org.amaranthpick.core.peer.MessageCodec;
+import org.amaranthpick.core.peer.RecordCodec;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -21,7 +22,17 @@
      * @return codecs
      */
     public static List<MessageCodec<?>> all() {
-        return List.of(new HoldNoticeCodec(), new LoadNoticeCodec());
+        return List.of(
+                new RecordCodec<PlacementMessage.HoldNotice>(
+                        PlacementMessage.HOLD_NOTICE,
+                        5,
+                        PlacementCodecs::packHolds,
+                        PlacementCodecs::holds),
+                new RecordCodec<PlacementMessage.LoadNotice>(
+                        PlacementMessage.LOAD_NOTICE,
+                        3,
+                        PlacementCodecs::packLoads,
+                        PlacementCodecs::loads));
     }
 
     private static void packIdentity(Identity id, MessagePacker packer) throws IOException {
@@ -33,93 +44,56 @@
         return Identity.resolve("", kind, unpacker.unpackString());
     }
 
-    private static void skip(MessageUnpacker unpacker, int fields) throws IOException {
-        if (fields > 0) {
-            unpacker.skipValue(fields);
-        }
-    }
-
-    private static final class HoldNoticeCodec
-            implements MessageCodec<PlacementMessage.HoldNotice> {
-        private static final int FIELDS = 5;
-
-        @Override
-        public int tag() {
-            return PlacementMessage.HOLD_NOTICE;
-        }
-
-        @Override
-        public void pack(PlacementMessage.HoldNotice message, MessagePacker packer)
-                throws IOException {
-            packer.packArrayHeader(FIELDS);
-            packIdentity(message.shard(), packer);
-            packer.packLong(message.fence());
-            packer.packLong(message.sequence());
-            packer.packBoolean(message.relay());
-            packer.packArrayHeader(message.holds().size());
-            for (PlacementMessage.Held held : message.holds()) {
-                packIdentity(held.upstream(), packer);
-                packer.packArrayHeader(held.modelVersions().size());
-                for (Identity model : held.modelVersions()) {
-                    packIdentity(model, packer);
-                }
-            }
-        }
-
-        @Override
-        public PlacementMessage.HoldNotice unpack(MessageUnpacker unpacker) throws IOException {
-            int fields = unpacker.unpackArrayHeader();
-            Identity shard = unpackIdentity(ResourceKind.DOMAIN, unpacker);
-            long fence = unpacker.unpackLong();
-            long sequence = unpacker.unpackLong();
-            boolean relay = unpacker.unpackBoolean();
-            int count = unpacker.unpackArrayHeader();
-            List<PlacementMessage.Held> holds = new ArrayList<>();
-            for (int i = 0; i < count; i++) {
-                holds.add(unpackHeld(unpacker));
+    private static void packHolds(PlacementMessage.HoldNotice message, MessagePacker packer)
+            throws IOException {
+        packIdentity(message.shard(), packer);
+        packer.packLong(message.fence());
+        packer.packLong(message.sequence());
+        packer.packBoolean(message.relay());
+        packer.packArrayHeader(message.holds().size());
+        for (PlacementMessage.Held held : message.holds()) {
+            packIdentity(held.upstream(), packer);
+            packer.packArrayHeader(held.modelVersions().size());
+            for (Identity model : held.modelVersions()) {
+                packIdentity(model, packer);
             }
-            skip(unpacker, fields - FIELDS);
-            return new PlacementMessage.HoldNotice(shard, fence, sequence, relay, holds);
         }
+    }
 
-        private static PlacementMessage.Held unpackHeld(MessageUnpacker unpacker)
-                throws IOException {
-            Identity upstream = unpackIdentity(ResourceKind.UPSTREAM, unpacker);
-            int count = unpacker.unpackArrayHeader();
-            Set<Identity> models = new HashSet<>();
-            for (int i = 0; i < count; i++) {
-                models.add(unpackIdentity(ResourceKind.MODEL_VERSION, unpacker));
-            }
-            return new PlacementMessage.Held(upstream, models);
+    private static PlacementMessage.HoldNotice holds(MessageUnpacker unpacker) throws IOException {
+        Identity shard = unpackIdentity(ResourceKind.DOMAIN, unpacker);
+        long fence = unpacker.unpackLong();
+        long sequence = unpacker.unpackLong();
+        boolean relay = unpacker.unpackBoolean();
+        int count = unpacker.unpackArrayHeader();
+        List<PlacementMessage.Held> holds = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            holds.add(unpackHeld(unpacker));
         }
+        return new PlacementMessage.HoldNotice(shard, fence, sequence, relay, holds);
     }
 
-    private static final class LoadNoticeCodec
-            implements MessageCodec<PlacementMessage.LoadNotice> {
-        private static final int FIELDS = 3;
-
-        @Override
-        public int tag() {
-            return PlacementMessage.LOAD_NOTICE;
+    private static PlacementMessage.Held unpackHeld(MessageUnpacker unpacker) throws IOException {
+        Identity upstream = unpackIdentity(ResourceKind.UPSTREAM, unpacker);
+        int count = unpacker.unpackArrayHeader();
+        Set<Identity> models = new HashSet<>();
+        for (int i = 0; i < count; i++) {
+            models.add(unpackIdentity(ResourceKind.MODEL_VERSION, unpacker));
         }
+        return new PlacementMessage.Held(upstream, models);
+    }
 
-        @Override
-        public void pack(PlacementMessage.LoadNotice message, MessagePacker packer)
-                throws IOException {
-            packer.packArrayHeader(FIELDS);
-            packIdentity(message.shard(), packer);
-            packer.packLong(message.fence());
-            packer.packInt(message.loads());
-        }
+    private static void packLoads(PlacementMessage.LoadNotice message, MessagePacker packer)
+            throws IOException {
+        packIdentity(message.shard(), packer);
+        packer.packLong(message.fence());
+        packer.packInt(message.loads());
+    }
 
-        @Override
-        public PlacementMessage.LoadNotice unpack(MessageUnpacker unpacker) throws IOException {
-            int fields = unpacker.unpackArrayHeader();
-            Identity shard = unpackIdentity(ResourceKind.DOMAIN, unpacker);
-            long fence = unpacker.unpackLong();
-            int loads = unpacker.unpackInt();
-            skip(unpacker, fields - FIELDS);
-            return new PlacementMessage.LoadNotice(shard, fence, loads);
-        }
+    private static PlacementMessage.LoadNotice loads(MessageUnpacker unpacker) throws IOException {
+        Identity shard = unpackIdentity(ResourceKind.DOMAIN, unpacker);
+        long fence = unpacker.unpackLong();
+        int loads = unpacker.unpackInt();
+        return new PlacementMessage.LoadNotice(shard, fence, loads);
     }
 }
--- a/server/src/main/java/org/amaranthpick/server/store/WatchStream.java
+++ b/server/src/main/java/org/amaranthpick/server/http/LineStream.java
@@ -1,33 +1,41 @@
-package org.amaranthpick.server.store;
+package org.amaranthpick.server.http;
 
 import io.undertow.util.HeaderMap;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import org.amaranthpick.core.store.Watch;
-import org.amaranthpick.core.store.WatchListener;
-import org.amaranthpick.server.http.CallEnd;
-import org.amaranthpick.server.http.HttpConnector;
-import org.amaranthpick.server.http.LineReader;
-import org.amaranthpick.server.http.OutgoingCall;
-import org.amaranthpick.server.http.OutgoingRequest;
-import org.amaranthpick.server.http.ResponseListener;
+import java.util.function.Consumer;
 
-/** Reads one watch and tells its listener. */
-final class WatchStream implements ResponseListener, Watch {
+/** Reads an open-ended response line by line until it ends or is closed. */
+public final class LineStream implements ResponseListener, AutoCloseable {
     private static final int STATUS_OK = 200;
 
-    private final WatchListener mListener;
+    private final LineReader.LineTaker mTaker;
+    private final Consumer<String> mOnEnded;
     private final LineReader mLines;
     private volatile OutgoingCall mOutgoing;
     private volatile boolean mClosed;
     private String mFault = "";
 
-    WatchStream(int maxLineBytes, WatchListener listener) {
-        mListener = listener;
+    /**
+     * Creates a stream; {@link #start} opens it.
+     *
+     * @param maxLineBytes longest line; a longer one ends the stream
+     * @param taker takes the lines; a malformed one ends the stream
+     * @param onEnded told why the stream ended, unless it was closed here
+     */
+    public LineStream(int maxLineBytes, LineReader.LineTaker taker, Consumer<String> onEnded) {
+        mTaker = taker;
+        mOnEnded = onEnded;
         mLines = new LineReader(maxLineBytes, this::onLine);
     }
 
-    void start(HttpConnector connector, OutgoingRequest request) {
+    /**
+     * Sends the request.
+     *
+     * @param connector makes the call
+     * @param request the request
+     */
+    public void start(HttpConnector connector, OutgoingRequest request) {
         mOutgoing = connector.prepare(request, this);
         mOutgoing.start();
     }
@@ -41,7 +49,7 @@
     @Override
     public void onResponse(int status, HeaderMap headers) {
         if (status != STATUS_OK) {
-            fail("the store answered with status " + status);
+            fail("answered with status " + status);
         }
     }
 
@@ -50,14 +58,14 @@
         try {
             mLines.feed(bytes);
         } catch (IOException e) {
-            fail("malformed watch: " + e.getMessage());
+            fail("malformed stream: " + e.getMessage());
         }
     }
 
     @Override
     public void onEnd(CallEnd end) {
         if (!mClosed) {
-            mListener.onEnded(mFault.isEmpty() ? reason(end) : mFault);
+            mOnEnded.accept(mFault.isEmpty() ? reason(end) : mFault);
         }
     }
 
@@ -65,12 +73,12 @@
         if (end instanceof CallEnd.NotSent unsent) {
             return unsent.reason();
         }
-        return end instanceof CallEnd.Lost lost ? lost.reason() : "the store ended the watch";
+        return end instanceof CallEnd.Lost lost ? lost.reason() : "the stream ended";
     }
 
     private void onLine(byte[] bytes, int offset, int length) throws IOException {
         if (!mClosed && mFault.isEmpty()) {
-            StoreJson.tell(mListener, bytes, offset, length);
+            mTaker.onLine(bytes, offset, length);
         }
     }
 
--- a/server/src/main/java/org/amaranthpick/server/store/HttpObjectStore.java
+++ b/server/src/main/java/org/amaranthpick/server/store/HttpObjectStore.java
@@ -24,6 +24,7 @@
 import org.amaranthpick.server.http.CallEnd;
 import org.amaranthpick.server.http.ConnectorCounters;
 import org.amaranthpick.server.http.HttpConnector;
+import org.amaranthpick.server.http.LineStream;
 import org.amaranthpick.server.http.OutgoingRequest;
 import org.xnio.XnioWorker;
 
@@ -96,7 +97,11 @@
 
     @Override
     public Watch watch(String prefix, long afterRevision, WatchListener listener) {
-        WatchStream stream = new WatchStream(mSettings.maxLineBytes(), listener);
+        LineStream stream =
+                new LineStream(
+                        mSettings.maxLineBytes(),
+                        (bytes, offset, length) -> StoreJson.tell(listener, bytes, offset, length),
+                        listener::onEnded);
         OutgoingRequest request =
                 new OutgoingRequest(
                         mAddress,
@@ -107,7 +112,7 @@
                         mSettings.watchSilence(),
                         Optional.empty());
         stream.start(mConnector, request);
-        return stream;
+        return stream::close;
     }
 
     /**
--- a/server/src/main/java/org/amaranthpick/server/upstream/HttpUpstreamClient.java
+++ b/server/src/main/java/org/amaranthpick/server/upstream/HttpUpstreamClient.java
@@ -31,6 +31,7 @@
 import org.amaranthpick.server.http.CallEnd;
 import org.amaranthpick.server.http.ConnectorCounters;
 import org.amaranthpick.server.http.HttpConnector;
+import org.amaranthpick.server.http.LineStream;
 import org.amaranthpick.server.http.OutgoingRequest;
 import org.xnio.XnioWorker;
 
@@ -142,7 +143,12 @@
     @Override
     public AutoCloseable cacheEvents(
             UpstreamSpec upstream, long afterSequence, CacheEventListener listener) {
-        CacheEventStream stream = new CacheEventStream(mSettings.maxLineBytes(), listener);
+        LineStream stream =
+                new LineStream(
+                        mSettings.maxLineBytes(),
+                        (bytes, offset, length) ->
+                                ReplyJson.tellCacheEvent(listener, bytes, offset, length),
+                        listener::onEnded);
         OutgoingRequest request =
                 new OutgoingRequest(
                         upstream.address(),
--- a/server/src/main/java/org/amaranthpick/server/upstream/ReplyJson.java
+++ b/server/src/main/java/org/amaranthpick/server/upstream/ReplyJson.java
@@ -10,6 +10,7 @@
 import org.amaranthpick.core.manifest.UpstreamSpec;
 import org.amaranthpick.core.name.Identity;
 import org.amaranthpick.core.upstream.CacheEvent;
+import org.amaranthpick.core.upstream.CacheEventListener;
 import org.amaranthpick.core.upstream.OrderReply;
 import org.amaranthpick.core.upstream.UpstreamStatus;
 
@@ -27,8 +28,20 @@
         }
     }
 
-    static CacheEvent cacheEvent(byte[] bytes, int offset, int length) throws IOException {
+    /**
+     * Tells a listener of one line of the cache event stream; keep-alive lines are skipped.
+     *
+     * @throws IOException if the line is malformed
+     */
+    static void tellCacheEvent(CacheEventListener listener, byte[] bytes, int offset, int length)
+            throws IOException {
         JsonNode json = MAPPER.readTree(bytes, offset, length);
+        if (json.has("sequence")) {
+            listener.onEvent(cacheEvent(json));
+        }
+    }
+
+    private static CacheEvent cacheEvent(JsonNode json) {
         List<Long> blocks = new ArrayList<>();
         json.path("blocks").forEach(block -> blocks.add(block.asLong()));
         return new CacheEvent(
@@ -38,11 +51,6 @@
                 blocks);
     }
 
-    /** Tells whether a line of the cache event stream carries an event. */
-    static boolean isCacheEvent(byte[] bytes, int offset, int length) throws IOException {
-        return MAPPER.readTree(bytes, offset, length).has("sequence");
-    }
-
     static OrderReply refusal(int status, byte[] body) {
         JsonNode json;
         try {
