Restart daemons in the soak

Cause: daemons never died in the soak, though claims are about just that. Change: a fault that stops a daemon at once and starts it again; a call whose connection broke counts as cut, not as answered.

--- a/tools/src/main/java/org/amaranthpick/tools/demo/DemoCalls.java
+++ b/tools/src/main/java/org/amaranthpick/tools/demo/DemoCalls.java
@@ -7,12 +7,17 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.amaranthpick.server.http.CallEnd;
 import org.amaranthpick.standins.ExpectedText;
 import org.amaranthpick.tools.client.CommandClient;
 
 /** Calls of the demo's callers, and the answers that are right. */
 final class DemoCalls {
     private static final JsonMapper MAPPER = new JsonMapper();
+
+    /** Outcome of a call whose connection broke: the caller sees that nothing was told. */
+    static final String CUT = "connection cut";
+
     private static final String DATA = "data: ";
 
     private final CommandClient mClient;
@@ -46,7 +51,7 @@
                                 run.run();
                             }
                         })
-                .thenApply(end -> parse(events.toString()));
+                .thenApply(end -> parse(events.toString(), end));
     }
 
     /** Calls the checkout of the booking service, which must not run twice. */
@@ -72,9 +77,9 @@
         return root.toString();
     }
 
-    private static Streamed parse(String events) {
+    private static Streamed parse(String events, CallEnd end) {
         StringBuilder text = new StringBuilder();
-        String outcome = "none";
+        String outcome = end instanceof CallEnd.Complete ? "none" : CUT;
         for (String line : events.split("\n", -1)) {
             if (line.startsWith(DATA) && line.startsWith("{", DATA.length())) {
                 JsonNode event = json(line.substring(DATA.length()));
--- a/tools/src/main/java/org/amaranthpick/tools/demo/DemoDaemons.java
+++ b/tools/src/main/java/org/amaranthpick/tools/demo/DemoDaemons.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.amaranthpick.server.daemon.Daemon;
 import org.amaranthpick.server.daemon.SettingsException;
 import org.amaranthpick.server.daemon.SettingsReader;
@@ -19,7 +20,12 @@
     /** Credential of operators. */
     public static final String OPERATOR_TOKEN = "demo-operator-token";
 
-    private final List<Daemon> mDaemons = new ArrayList<>();
+    private final URI mStore;
+    private final List<Ports> mPorts = new ArrayList<>();
+    private final List<Daemon> mDaemons = new CopyOnWriteArrayList<>();
+
+    /** Ports of one daemon, kept over its restarts. */
+    private record Ports(int callers, int operators, int peers) {}
 
     /**
      * Starts daemons.
@@ -28,15 +34,25 @@
      * @param count number of daemons
      */
     public DemoDaemons(URI store, int count) {
-        List<Integer> peerPorts = new ArrayList<>();
+        mStore = store;
         for (int i = 0; i < count; i++) {
-            peerPorts.add(freePort());
+            mPorts.add(new Ports(freePort(), freePort(), freePort()));
         }
         for (int i = 0; i < count; i++) {
-            mDaemons.add(start(store, i, peerPorts));
+            mDaemons.add(start(i));
         }
     }
 
+    /**
+     * Stops a daemon at once, with whatever it has in progress, and starts it again.
+     *
+     * @param index number of the daemon, from 0
+     */
+    public void restart(int index) {
+        mDaemons.get(index).close();
+        mDaemons.set(index, start(index));
+    }
+
     /**
      * Returns the daemons.
      *
@@ -53,7 +69,7 @@
      * @return address
      */
     public URI callers(int index) {
-        return address(mDaemons.get(index).callerAddress().getPort());
+        return address(mPorts.get(index).callers());
     }
 
     /**
@@ -63,7 +79,7 @@
      * @return address
      */
     public URI operators(int index) {
-        return address(mDaemons.get(index).operatorAddress().getPort());
+        return address(mPorts.get(index).operators());
     }
 
     @Override
@@ -71,19 +87,20 @@
         mDaemons.forEach(Daemon::close);
     }
 
-    private static Daemon start(URI store, int index, List<Integer> peerPorts) {
+    private Daemon start(int index) {
+        Ports ports = mPorts.get(index);
         Map<String, String> flags = new HashMap<>();
         flags.put("fleet", fleet(index));
         flags.put("host-name", "entry-" + (index + 1));
         flags.put("domain", "zone-a");
         flags.put("region", fleet(index) + "-region");
-        flags.put("caller-address", "127.0.0.1:" + freePort());
-        flags.put("operator-address", "127.0.0.1:" + freePort());
-        flags.put("peer-address", "127.0.0.1:" + peerPorts.get(index));
-        flags.put("store-address", store.toString());
+        flags.put("caller-address", "127.0.0.1:" + ports.callers());
+        flags.put("operator-address", "127.0.0.1:" + ports.operators());
+        flags.put("peer-address", "127.0.0.1:" + ports.peers());
+        flags.put("store-address", mStore.toString());
         flags.put("peer-key", "demo-peer-key-of-at-least-32-bytes");
         flags.put("operator-token", OPERATOR_TOKEN);
-        flags.put("seeds", seeds(peerPorts));
+        flags.put("seeds", seeds());
         flags.put("balancer-lag", "PT0.5S");
         flags.put("io-threads", "2");
         try {
@@ -93,13 +110,13 @@
         }
     }
 
-    private static String seeds(List<Integer> peerPorts) {
+    private String seeds() {
         List<String> seeds = new ArrayList<>();
-        for (int i = 0; i < peerPorts.size(); i++) {
+        for (int i = 0; i < mPorts.size(); i++) {
             String fleet = fleet(i);
             String host = fleet + "/entry-" + (i + 1);
             String place = fleet + "/zone-a@" + fleet + "-region";
-            seeds.add(host + "@127.0.0.1:" + peerPorts.get(i) + "@" + place);
+            seeds.add(host + "@127.0.0.1:" + mPorts.get(i).peers() + "@" + place);
         }
         return String.join(",", seeds);
     }
--- a/tools/src/main/java/org/amaranthpick/tools/demo/SoakCaller.java
+++ b/tools/src/main/java/org/amaranthpick/tools/demo/SoakCaller.java
@@ -96,6 +96,8 @@
             if (!whole.startsWith(answer.text())) {
                 mTally.breach(question + ": interrupted with wrong tokens " + answer.text());
             }
+        } else if (outcome.equals(DemoCalls.CUT)) {
+            mTally.count("model calls cut with their daemon");
         } else {
             mTally.breach(question + ": outcome is " + outcome);
         }
--- a/tools/src/main/java/org/amaranthpick/tools/demo/SoakCommand.java
+++ b/tools/src/main/java/org/amaranthpick/tools/demo/SoakCommand.java
@@ -7,7 +7,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
-import org.amaranthpick.server.daemon.Daemon;
 import org.amaranthpick.tools.Command;
 import org.amaranthpick.tools.CommandException;
 import org.amaranthpick.tools.ExitCode;
@@ -38,16 +37,12 @@
             DemoSetup.apply(platform, client, out);
             DemoSetup.awaitReady(daemons);
             SplittableRandom random = new SplittableRandom(mSeed);
-            SoakFaults faults = new SoakFaults(platform, client.scheduler(), random.split(), tally);
+            SoakFaults faults =
+                    new SoakFaults(platform, daemons, client.scheduler(), random.split(), tally);
             faults.start();
             callAll(platform, daemons, client, random, tally);
             faults.stop();
-            for (Daemon daemon : daemons.all()) {
-                if (daemon.invariantViolations() > 0) {
-                    tally.breach(
-                            "invariants violated in the program: " + daemon.invariantViolations());
-                }
-            }
+            daemons.all().forEach(faults::checkInvariants);
         }
         tally.counts().forEach((what, count) -> out.println("  " + what + ": " + count));
         tally.breaches().forEach(err::println);
--- a/tools/src/main/java/org/amaranthpick/tools/demo/SoakFaults.java
+++ b/tools/src/main/java/org/amaranthpick/tools/demo/SoakFaults.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.server.daemon.Daemon;
 import org.amaranthpick.standins.EngineStandIn;
 
 /** Breaks and mends stand-ins at random. One engine of each half of the layers always works. */
@@ -13,14 +14,20 @@
     private static final Duration MAX_FAULT = Duration.ofMillis(2_500);
 
     private final DemoPlatform mPlatform;
+    private final DemoDaemons mDaemons;
     private final Scheduler mScheduler;
     private final RandomGenerator mRandom;
     private final SoakTally mTally;
     private volatile boolean mStopped;
 
     SoakFaults(
-            DemoPlatform platform, Scheduler scheduler, RandomGenerator random, SoakTally tally) {
+            DemoPlatform platform,
+            DemoDaemons daemons,
+            Scheduler scheduler,
+            RandomGenerator random,
+            SoakTally tally) {
         mPlatform = platform;
+        mDaemons = daemons;
         mScheduler = scheduler;
         mRandom = random;
         mTally = tally;
@@ -43,7 +50,7 @@
         // Engines 0 and 1 stay; 2 and 3 are their replicas.
         EngineStandIn replica = engines.get(2 + mRandom.nextInt(2));
         EngineStandIn any = engines.get(mRandom.nextInt(engines.size()));
-        switch (mRandom.nextInt(8)) {
+        switch (mRandom.nextInt(9)) {
             case 0 -> fault("engine dies", replica::die, replica::revive);
             case 1 -> fault("engine connections close", any::closeConnections, () -> {});
             case 2 -> fault("engine connections go silent", replica::silenceConnections, () -> {});
@@ -63,6 +70,7 @@
                             "service loses answers",
                             () -> fleet.service().mDropAnswer = true,
                             () -> fleet.service().mDropAnswer = false);
+            case 7 -> restartDaemon(mRandom.nextInt(mDaemons.all().size()));
             default ->
                     fault(
                             "engine drops requests unrun",
@@ -72,6 +80,20 @@
         mScheduler.schedule(upTo(MAX_PAUSE), this::next);
     }
 
+    private void restartDaemon(int index) {
+        mTally.count("fault: daemon restarts");
+        checkInvariants(mDaemons.all().get(index));
+        Thread thread = new Thread(() -> mDaemons.restart(index), "soak-restart");
+        thread.start();
+    }
+
+    /** Takes the violations of a daemon into the tally. */
+    void checkInvariants(Daemon daemon) {
+        if (daemon.invariantViolations() > 0) {
+            mTally.breach("invariants violated in a daemon: " + daemon.invariantViolations());
+        }
+    }
+
     private void toggleEngine(String what, EngineStandIn engine) {
         fault(
                 what,
