--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/gateway/GatewayConfiguration.java
@@ -0,0 +1,132 @@
+package org.amaranthpick.core.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of the operator's configuration. Immutable. */
+public final class GatewayConfiguration {
+    private final long mVersion;
+    private final Map<String, List<GatewayRoute>> mRoutesByHost = new HashMap<>();
+    private final Map<String, GatewayService> mServices;
+    private final Map<String, Credential> mCredentials;
+    private final boolean mNeedsCredential;
+    private final GatewayLimits mLimits;
+    private final int mRouteCount;
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version version, grows with each change
+     * @param routes all routes
+     * @param services services by name
+     * @param credentials credentials by key
+     * @param needsCredential whether requests need a credential at all
+     * @param limits bounds of callers
+     */
+    public GatewayConfiguration(
+            long version,
+            List<GatewayRoute> routes,
+            Map<String, GatewayService> services,
+            Map<String, Credential> credentials,
+            boolean needsCredential,
+            GatewayLimits limits) {
+        mVersion = version;
+        mServices = Map.copyOf(services);
+        mCredentials = Map.copyOf(credentials);
+        mNeedsCredential = needsCredential;
+        mLimits = limits;
+        mRouteCount = routes.size();
+        for (GatewayRoute route : routes) {
+            mRoutesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+        }
+        Comparator<GatewayRoute> longestFirst =
+                Comparator.comparingInt(route -> -route.pathPrefix().length());
+        mRoutesByHost.values().forEach(list -> list.sort(longestFirst));
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return version, above that of every earlier configuration
+     */
+    public long version() {
+        return mVersion;
+    }
+
+    /**
+     * Finds the route with the longest prefix of a path.
+     *
+     * @param host host that the request is addressed to
+     * @param path path of the request, without its query
+     * @return route, empty if none matches
+     */
+    public Optional<GatewayRoute> route(String host, String path) {
+        for (GatewayRoute route : mRoutesByHost.getOrDefault(host, List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name its name
+     * @return service, empty if there is none
+     */
+    public Optional<GatewayService> service(String name) {
+        return Optional.ofNullable(mServices.get(name));
+    }
+
+    /**
+     * Returns all services.
+     *
+     * @return services by name
+     */
+    public Map<String, GatewayService> services() {
+        return mServices;
+    }
+
+    /**
+     * Tells whether requests of a route need a credential.
+     *
+     * @param route the route
+     * @return true if one is needed
+     */
+    public boolean needsCredential(GatewayRoute route) {
+        return mNeedsCredential && !route.allowAnonymous();
+    }
+
+    /**
+     * Finds whom a key stands for.
+     *
+     * @param key key of a caller
+     * @return credential, empty if the key is unknown
+     */
+    public Optional<Credential> credential(String key) {
+        return Optional.ofNullable(mCredentials.get(key));
+    }
+
+    /**
+     * Returns the bounds of callers.
+     *
+     * @return limits
+     */
+    public GatewayLimits limits() {
+        return mLimits;
+    }
+
+    /**
+     * Counts the routes.
+     *
+     * @return number of routes
+     */
+    public int routeCount() {
+        return mRouteCount;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/gateway/TargetChooser.java
@@ -0,0 +1,173 @@
+package org.amaranthpick.core.gateway;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import org.amaranthpick.core.layers.ChainFinder;
+import org.amaranthpick.core.layers.EngineChain;
+import org.amaranthpick.core.register.UpstreamEntry;
+import org.amaranthpick.core.register.UpstreamHealth;
+import org.amaranthpick.core.register.UpstreamRegister;
+
+/**
+ * Chooses the upstream of each attempt. Plain services: fewest own requests in progress, own
+ * failure domain first among equals. Models: chains of the own domain, drawn in proportion to the
+ * requests they have room for; chains elsewhere where the domain has none. Confined to one thread.
+ */
+public final class TargetChooser {
+    /** Time for which chains found are used again when nothing is known to have changed. */
+    private static final Duration CHAINS_KEPT = Duration.ofMillis(500);
+
+    /** Requests in progress that an upstream of another domain counts as having more. */
+    private static final double AWAY_HANDICAP = 0.5;
+
+    private static final int MOST_CHAINS = 6;
+
+    private final UpstreamRegister mRegister;
+    private final UpstreamHealth mHealth;
+    private final String mDomain;
+    private final RandomGenerator mRandom;
+    private final Map<String, Integer> mInProgress = new HashMap<>();
+    private final Map<String, Found> mFound = new HashMap<>();
+
+    private record Found(
+            EngineModel model, List<EngineChain> chains, long register, long health, long atNs) {}
+
+    /**
+     * Creates a chooser.
+     *
+     * @param register upstreams known
+     * @param health what traffic tells of them
+     * @param domain failure domain of this daemon
+     * @param random source of draws
+     */
+    public TargetChooser(
+            UpstreamRegister register,
+            UpstreamHealth health,
+            String domain,
+            RandomGenerator random) {
+        mRegister = register;
+        mHealth = health;
+        mDomain = domain;
+        mRandom = random;
+    }
+
+    /**
+     * Chooses a target.
+     *
+     * @param service service of the request
+     * @param tried ids of upstreams that this request failed at
+     * @param nowNs monotonic time
+     * @return target, empty if no upstream can take the request
+     */
+    public Optional<Target> choose(GatewayService service, Set<String> tried, long nowNs) {
+        mRegister.expire(nowNs);
+        if (service.model().isEmpty()) {
+            return plain(service.name(), tried, nowNs);
+        }
+        if (tried.isEmpty()) {
+            return draw(chains(service, service.model().get(), nowNs));
+        }
+        ChainFinder finder = new ChainFinder(service.model().get(), mDomain);
+        return finder.find(
+                        mRegister.ofService(service.name()),
+                        usable(nowNs).and(e -> !tried.contains(e.id())))
+                .map(chain -> new Target(chain.first(), Optional.of(chain)));
+    }
+
+    /**
+     * Notes that an attempt has begun.
+     *
+     * @param target where it goes
+     */
+    public void onSent(Target target) {
+        mInProgress.merge(target.upstream().id(), 1, Integer::sum);
+    }
+
+    /**
+     * Notes that an attempt has ended.
+     *
+     * @param target where it went
+     */
+    public void onEnded(Target target) {
+        mInProgress.computeIfPresent(
+                target.upstream().id(), (id, count) -> count > 1 ? count - 1 : null);
+    }
+
+    private Optional<Target> plain(String service, Set<String> tried, long nowNs) {
+        UpstreamEntry best = null;
+        double bestScore = 0;
+        for (UpstreamEntry entry : mRegister.ofService(service)) {
+            if (entry.leaving() || tried.contains(entry.id())) {
+                continue;
+            }
+            double score = mInProgress.getOrDefault(entry.id(), 0) + mRandom.nextDouble() / 4;
+            if (!entry.domain().equals(mDomain)) {
+                score += AWAY_HANDICAP;
+            }
+            if (mHealth.excluded(entry.id(), nowNs)) {
+                score += entry.slots();
+            }
+            if (best == null || score < bestScore) {
+                best = entry;
+                bestScore = score;
+            }
+        }
+        return Optional.ofNullable(best).map(entry -> new Target(entry, Optional.empty()));
+    }
+
+    private Optional<Target> draw(List<EngineChain> chains) {
+        if (chains.isEmpty()) {
+            return Optional.empty();
+        }
+        List<EngineChain> near =
+                chains.stream().filter(c -> c.first().domain().equals(mDomain)).toList();
+        List<EngineChain> from = near.isEmpty() ? chains.subList(0, 1) : near;
+        double total = from.stream().mapToDouble(TargetChooser::weight).sum();
+        double left = mRandom.nextDouble() * total;
+        EngineChain drawn = from.get(from.size() - 1);
+        for (EngineChain chain : from) {
+            left -= weight(chain);
+            if (left < 0) {
+                drawn = chain;
+                break;
+            }
+        }
+        return Optional.of(new Target(drawn.first(), Optional.of(drawn)));
+    }
+
+    /** Requests a chain can finish in a time: its room over the time that each stays. */
+    private static double weight(EngineChain chain) {
+        return chain.kvTokens() / chain.tokenMs();
+    }
+
+    private List<EngineChain> chains(GatewayService service, EngineModel model, long nowNs) {
+        Found found = mFound.get(service.name());
+        boolean fresh =
+                found != null
+                        && found.model().equals(model)
+                        && found.register() == mRegister.version()
+                        && found.health() == mHealth.version()
+                        && nowNs - found.atNs() < CHAINS_KEPT.toNanos();
+        if (!fresh) {
+            List<EngineChain> chains =
+                    new ChainFinder(model, mDomain)
+                            .disjoint(
+                                    mRegister.ofService(service.name()),
+                                    usable(nowNs),
+                                    MOST_CHAINS);
+            found = new Found(model, chains, mRegister.version(), mHealth.version(), nowNs);
+            mFound.put(service.name(), found);
+        }
+        return found.chains();
+    }
+
+    private Predicate<UpstreamEntry> usable(long nowNs) {
+        return entry -> !mHealth.excluded(entry.id(), nowNs);
+    }
+}
--- a/core/src/main/java/org/amaranthpick/core/placement/CasObject.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/CasObject.java
@@ -20,7 +20,7 @@
     private static final int KEPT_TOKENS = 8;
 
     private final String mKey;
-    private final PlacementContext mContext;
+    private final LeaseContext mContext;
     private final Object mLock;
     private final Deque<WriterToken> mOwnWrites = new ArrayDeque<>();
     private Optional<StoredObject> mPresent = Optional.empty();
@@ -40,7 +40,7 @@
         FAILED
     }
 
-    CasObject(String key, PlacementContext context, Object lock) {
+    CasObject(String key, LeaseContext context, Object lock) {
         mKey = key;
         mContext = context;
         mLock = lock;
--- a/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ControlShard.java
@@ -56,7 +56,7 @@
         mDomain = domain;
         mContext = context;
         mPolicy = policy;
-        mLease = new LeaseKeeper(domain.key(), context, this, this::fenceFloor);
+        mLease = new LeaseKeeper(domain.key(), context.lease(), this, this::fenceFloor);
         mJournal = new ShardJournal(domain, context, this);
         mHolds = new HoldAnnouncer(domain, context, holds);
         TrustTable trust = new TrustTable(context.scheduler());
--- a/core/src/main/java/org/amaranthpick/core/placement/LeaseKeeper.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/LeaseKeeper.java
@@ -12,13 +12,13 @@
  * moment it sent a renewal; others count theirs from the moment they first saw it, and wait longer,
  * so that a holder stops believing before anyone may take over. Guarded by the shard's lock.
  */
-final class LeaseKeeper {
+public final class LeaseKeeper {
     private static final String KEY_PREFIX = "placement/lease/";
     private static final int MAX_BACKOFF_SHIFT = 6;
     private static final double JITTER = 0.2;
 
     private final String mShard;
-    private final PlacementContext mContext;
+    private final LeaseContext mContext;
     private final PlacementSettings mSettings;
     private final CasObject mObject;
     private final LongSupplier mFenceFloor;
@@ -35,17 +35,17 @@
      * Creates a keeper without a lease.
      *
      * @param shard key of the control shard
-     * @param context what placement works with
+     * @param context what leases work with
      * @param lock lock of the shard
      * @param fenceFloor highest fencing number seen anywhere else, such as at engines
      */
-    LeaseKeeper(String shard, PlacementContext context, Object lock, LongSupplier fenceFloor) {
+    public LeaseKeeper(String shard, LeaseContext context, Object lock, LongSupplier fenceFloor) {
         mShard = shard;
         mContext = context;
         mSettings = context.settings();
         mObject = new CasObject(KEY_PREFIX + shard, context, lock);
         mFenceFloor = fenceFloor;
-        mSelf = context.members().self().host().key();
+        mSelf = context.self();
         mBootNonce = context.writers().next().bootNonce();
     }
 
@@ -54,7 +54,7 @@
      *
      * @return lease, empty once it lapsed on the monotonic clock
      */
-    Optional<Lease> held() {
+    public Optional<Lease> held() {
         long nowNs = mContext.scheduler().monotonicNs();
         return mLease.filter(lease -> nowNs < lease.believedUntilNs());
     }
@@ -64,7 +64,7 @@
      *
      * @param rank rank of this daemon among the candidates, 0 first; empty if it is none
      */
-    void step(Optional<Integer> rank) {
+    public void step(Optional<Integer> rank) {
         dropIfLapsed();
         if (mObject.busy() || mContext.scheduler().monotonicNs() < mNextCallNs) {
             return;
@@ -77,7 +77,7 @@
     }
 
     /** Gives up the lease, so that the next candidate need not wait for it to lapse. */
-    void release() {
+    public void release() {
         Optional<LeaseRecord> record = record();
         if (held().isEmpty() || record.isEmpty() || mObject.busy()) {
             mLease = Optional.empty();
@@ -89,7 +89,7 @@
     }
 
     /** Stops believing in the lease; it is taken again only with a higher fencing number. */
-    void abandon() {
+    public void abandon() {
         mLease = Optional.empty();
         nextCallAfter(mSettings.renewPeriod());
     }
--- a/core/src/main/java/org/amaranthpick/core/placement/PlacementContext.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/PlacementContext.java
@@ -40,4 +40,17 @@
         DecisionLog decisions,
         Invariants invariants,
         RandomGenerator random,
-        PlacementSettings settings) {}
+        PlacementSettings settings) {
+    /** Returns the part that leases and journals work with. */
+    LeaseContext lease() {
+        return new LeaseContext(
+                store,
+                scheduler,
+                writers,
+                decisions,
+                invariants,
+                random,
+                settings,
+                members.self().host().key());
+    }
+}
--- a/core/src/main/java/org/amaranthpick/core/placement/ShardJournal.java
+++ b/core/src/main/java/org/amaranthpick/core/placement/ShardJournal.java
@@ -28,7 +28,7 @@
     }
 
     ShardJournal(Identity shard, PlacementContext context, Object lock) {
-        mObject = new CasObject(KEY_PREFIX + shard.key(), context, lock);
+        mObject = new CasObject(KEY_PREFIX + shard.key(), context.lease(), lock);
     }
 
     /** Tells whether a call is under way. */
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/register/UpstreamHealth.java
@@ -0,0 +1,69 @@
+package org.amaranthpick.core.register;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What own traffic tells of upstreams. An upstream that failed is left out for a time that doubles
+ * with each further failure; a success ends it. Confined to one thread.
+ */
+public final class UpstreamHealth {
+    private static final Duration FIRST_EXCLUSION = Duration.ofMillis(800);
+    private static final Duration LONGEST_EXCLUSION = Duration.ofSeconds(6);
+
+    private final Map<String, Trouble> mTroubles = new HashMap<>();
+    private long mVersion;
+
+    private record Trouble(int failures, long untilNs) {}
+
+    /**
+     * Notes a failure that the upstream is to blame for.
+     *
+     * @param id id of the upstream
+     * @param nowNs monotonic time
+     */
+    public void onFailure(String id, long nowNs) {
+        Trouble before = mTroubles.get(id);
+        int failures = before == null ? 1 : before.failures() + 1;
+        if (before != null && nowNs < before.untilNs()) {
+            return;
+        }
+        long exclusionNs = FIRST_EXCLUSION.toNanos() << Math.min(failures - 1, 6);
+        exclusionNs = Math.min(exclusionNs, LONGEST_EXCLUSION.toNanos());
+        mTroubles.put(id, new Trouble(failures, nowNs + exclusionNs));
+        mVersion++;
+    }
+
+    /**
+     * Notes that the upstream did its work.
+     *
+     * @param id id of the upstream
+     */
+    public void onSuccess(String id) {
+        if (mTroubles.remove(id) != null) {
+            mVersion++;
+        }
+    }
+
+    /**
+     * Tells whether an upstream is left out.
+     *
+     * @param id id of the upstream
+     * @param nowNs monotonic time
+     * @return true while it is left out
+     */
+    public boolean excluded(String id, long nowNs) {
+        Trouble trouble = mTroubles.get(id);
+        return trouble != null && nowNs < trouble.untilNs();
+    }
+
+    /**
+     * Returns a number that grows with every change.
+     *
+     * @return version of the beliefs
+     */
+    public long version() {
+        return mVersion;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ConfigurationFollower.java
@@ -0,0 +1,50 @@
+package org.amaranthpick.server.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthpick.core.gateway.GatewayConfiguration;
+import org.amaranthpick.core.store.StoreFollower;
+import org.amaranthpick.core.store.StoredObject;
+
+/** Keeps the newest configuration; an older version never replaces a newer one. */
+final class ConfigurationFollower implements StoreFollower.Sink {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private final GatewayDecoder mDecoder;
+    private Optional<GatewayConfiguration> mCurrent = Optional.empty();
+
+    ConfigurationFollower(GatewayDecoder decoder) {
+        mDecoder = decoder;
+    }
+
+    Optional<GatewayConfiguration> current() {
+        return mCurrent;
+    }
+
+    @Override
+    public void onList(List<StoredObject> objects) {
+        objects.forEach(this::onWritten);
+    }
+
+    @Override
+    public void onWritten(StoredObject object) {
+        Optional<GatewayConfiguration> next = mDecoder.configuration(object.value());
+        long present = mCurrent.map(GatewayConfiguration::version).orElse(-1L);
+        if (next.isPresent() && next.get().version() > present) {
+            mCurrent = next;
+            sLogger.atInfo().log(
+                    "config: in force version=%d before=%d routes=%d services=%d revision=%d",
+                    next.get().version(),
+                    present,
+                    next.get().routeCount(),
+                    next.get().services().size(),
+                    object.version());
+        }
+    }
+
+    @Override
+    public void onDeleted(String key) {
+        sLogger.atWarning().log("config: object %s was deleted; the last version stays", key);
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -0,0 +1,392 @@
+package org.amaranthpick.server.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.StatusCodes;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthpick.core.gateway.EventCursor;
+import org.amaranthpick.core.gateway.RetryAllowance;
+import org.amaranthpick.core.gateway.Target;
+import org.amaranthpick.core.gateway.UpstreamVerdict;
+import org.amaranthpick.core.layers.EngineReport;
+import org.amaranthpick.core.register.UpstreamEntry;
+import org.amaranthpick.core.time.Cancellable;
+
+/**
+ * Carries one request to its final answer: attempts one after another, resumption of a stream
+ * within the answer, time limits, and the truth about whether it has run.
+ */
+final class ForwardedExchange {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    /** Sends of one request at most, those that upstreams refused included. */
+    private static final int MOST_SENDS = 4;
+
+    /** Silence of a stream, in objectives, after which the engine is asked about it. */
+    private static final double SILENT_GAPS = 2.5;
+
+    /** Shortest silence after which an engine is asked about a stream. */
+    private static final Duration SHORTEST_SILENCE = Duration.ofMillis(400);
+
+    /** Time kept of the deadline to bring the final answer to the caller. */
+    private static final Duration ANSWER_MARGIN = Duration.ofMillis(20);
+
+    private final HttpServerExchange mExchange;
+    private final ForwardedRequest mRequest;
+    private final GatewayParts mParts;
+    private final Refusals mRefusals;
+    private final Runnable mOnEnd;
+    private final CallerResponse mResponse;
+    private final EventCursor mCursor;
+    private final Set<String> mTried = new HashSet<>();
+    private CallerWatch mWatch;
+    private Optional<ForwardAttempt> mAttempt = Optional.empty();
+    private Cancellable mDeadlineTimer = () -> {};
+    private Cancellable mSilenceTimer = () -> {};
+    private long mLastEventNs;
+    private int mSends;
+    private int mRuns;
+    private boolean mMayHaveRun;
+    private boolean mStarted;
+    private boolean mEnded;
+
+    ForwardedExchange(
+            HttpServerExchange exchange,
+            ForwardedRequest request,
+            GatewayParts parts,
+            Refusals refusals,
+            Runnable onEnd) {
+        mExchange = exchange;
+        mRequest = request;
+        mParts = parts;
+        mRefusals = refusals;
+        mOnEnd = onEnd;
+        mResponse =
+                new CallerResponse(exchange, parts.dialect(), this::onCallerGone, this::onDrained);
+        mCursor = new EventCursor(request.facts().lastEventId());
+    }
+
+    void start() {
+        mWatch = CallerWatch.start(mExchange, this::onCallerGone);
+        mDeadlineTimer = mParts.scheduler().schedule(left().minus(ANSWER_MARGIN), this::onDeadline);
+        mParts.retries().of(mRequest.service().name()).onRequest(nowNs());
+        attempt("first");
+    }
+
+    private void attempt(String why) {
+        Optional<Target> target = mParts.chooser().choose(mRequest.service(), mTried, nowNs());
+        if (target.isEmpty()) {
+            fail("no upstream can take it, after " + why);
+            return;
+        }
+        mSends++;
+        mLastEventNs = nowNs();
+        Duration left = left();
+        UpstreamTerms terms =
+                new UpstreamTerms(
+                        target.get(),
+                        mRequest.facts().deadline().map(deadline -> deadline.minus(elapsed())),
+                        mRequest.workspace(),
+                        mRequest.priority(),
+                        mCursor.lastId());
+        log("attempt", why + " " + describe(target.get()));
+        ForwardAttempt attempt =
+                new ForwardAttempt(
+                        this,
+                        mRequest,
+                        mParts,
+                        target.get(),
+                        mParts.dialect().toUpstream(mRequest.headers(), terms),
+                        left.plus(ANSWER_MARGIN));
+        mAttempt = Optional.of(attempt);
+        watchSilence(silenceLimit());
+        attempt.start();
+    }
+
+    // What an attempt tells.
+
+    void onStreamHead(int status, HeaderMap headers) {
+        if (!mStarted) {
+            mStarted = true;
+            mResponse.begin(status, headers);
+        }
+        mCursor.dropPartial();
+    }
+
+    void onStreamBytes(ByteBuffer bytes) {
+        byte[] events = mCursor.take(bytes);
+        if (events.length == 0) {
+            return;
+        }
+        mLastEventNs = nowNs();
+        if (!mResponse.piece(events)) {
+            mAttempt.ifPresent(ForwardAttempt::pause);
+        }
+    }
+
+    void onStreamEnd() {
+        if (mCursor.hasPartial()) {
+            onLost(mAttempt.get(), "the stream ended within an event");
+            return;
+        }
+        praise(mAttempt.get().target());
+        end("answered", "stream complete");
+        mResponse.finish();
+    }
+
+    void onAnswer(
+            ForwardAttempt attempt, boolean success, int status, HeaderMap headers, byte[] body) {
+        mMayHaveRun = true;
+        mRuns++;
+        boolean serverFault = status >= StatusCodes.INTERNAL_SERVER_ERROR;
+        if (mStarted) {
+            onLost(attempt, "the stream could not go on, status " + status);
+            return;
+        }
+        mTried.add(attempt.target().upstream().id());
+        if (!success && serverFault && mayRepeat()) {
+            attempt("status " + status);
+            return;
+        }
+        if (success) {
+            praise(attempt.target());
+        }
+        end("answered", "status " + status);
+        mResponse.whole(status, headers, body);
+    }
+
+    void onNotSent(ForwardAttempt attempt, String reason) {
+        blame(attempt.target().upstream(), reason);
+        again(attempt, reason);
+    }
+
+    void onNotRun(ForwardAttempt attempt, int status, UpstreamVerdict.NotRun notRun) {
+        String reason = "status " + status + ", not run, at " + notRun.blamed().orElse("first");
+        Optional<UpstreamEntry> blamed =
+                notRun.blamed().flatMap(address -> mParts.register().atAddress(address));
+        UpstreamEntry culprit = blamed.orElse(attempt.target().upstream());
+        if (attempt.target().chain().isPresent() || notRun.misdirected()) {
+            blame(culprit, reason);
+        }
+        mTried.add(culprit.id());
+        again(attempt, reason);
+    }
+
+    void onLost(ForwardAttempt attempt, String reason) {
+        mMayHaveRun = true;
+        mRuns++;
+        if (!mStarted || attempt.target().chain().isEmpty()) {
+            blame(attempt.target().upstream(), reason);
+        }
+        mTried.add(attempt.target().upstream().id());
+        attempt.target()
+                .chain()
+                .ifPresent(c -> c.parts().forEach(p -> mTried.add(p.engine().id())));
+        if (mayRepeat()) {
+            attempt(reason);
+        } else {
+            fail(reason);
+        }
+    }
+
+    /** Sends a request again that has not run at its last attempt. */
+    private void again(ForwardAttempt attempt, String reason) {
+        mTried.add(attempt.target().upstream().id());
+        if (mSends < MOST_SENDS && allowance().takeRepeat(nowNs())) {
+            attempt(reason);
+        } else {
+            fail(reason);
+        }
+    }
+
+    private boolean mayRepeat() {
+        return mRequest.route().repeatable()
+                && mRuns < mRequest.route().maxAttempts()
+                && mSends < MOST_SENDS
+                && left().compareTo(ANSWER_MARGIN) > 0
+                && allowance().takeRepeat(nowNs());
+    }
+
+    private RetryAllowance allowance() {
+        return mParts.retries().of(mRequest.service().name());
+    }
+
+    // Silence.
+
+    private Duration silenceLimit() {
+        if (mRequest.isStream()) {
+            Duration objective =
+                    mRequest.route().targetGap().orElse(mRequest.route().targetLatency());
+            Duration limit = Duration.ofMillis((long) (objective.toMillis() * SILENT_GAPS));
+            return limit.compareTo(SHORTEST_SILENCE) > 0 ? limit : SHORTEST_SILENCE;
+        }
+        return mRequest.route().targetLatency().multipliedBy(2);
+    }
+
+    private void watchSilence(Duration delay) {
+        mSilenceTimer.cancel();
+        if (mRequest.route().repeatable()) {
+            mSilenceTimer = mParts.scheduler().schedule(delay, this::checkSilence);
+        }
+    }
+
+    private void checkSilence() {
+        if (mEnded || mAttempt.isEmpty()) {
+            return;
+        }
+        Duration left = silenceLimit().minusNanos(nowNs() - mLastEventNs);
+        if (left.compareTo(Duration.ofMillis(1)) > 0) {
+            watchSilence(left);
+            return;
+        }
+        ForwardAttempt asked = mAttempt.get();
+        if (asked.target().chain().isEmpty()) {
+            onSilent(asked, List.of(asked.target().upstream()), "no answer");
+            return;
+        }
+        mParts.engines()
+                .report(asked.target().upstream())
+                .thenAccept(report -> mParts.scheduler().execute(() -> onReport(asked, report)));
+    }
+
+    private void onReport(ForwardAttempt asked, EngineReport report) {
+        if (mEnded || mAttempt.filter(a -> a == asked).isEmpty()) {
+            return;
+        }
+        if (report instanceof EngineReport.Absent absent) {
+            onSilent(asked, List.of(asked.target().upstream()), absent.reason());
+            return;
+        }
+        List<String> stalled =
+                ((EngineReport.Present) report)
+                        .stalled()
+                        .getOrDefault(mRequest.facts().requestId(), List.of());
+        List<UpstreamEntry> culprits =
+                stalled.stream()
+                        .flatMap(address -> mParts.register().atAddress(address).stream())
+                        .toList();
+        if (culprits.isEmpty()) {
+            watchSilence(silenceLimit());
+        } else {
+            onSilent(asked, culprits, "stalled at " + stalled);
+        }
+    }
+
+    private void onSilent(ForwardAttempt attempt, List<UpstreamEntry> culprits, String reason) {
+        culprits.forEach(engine -> blame(engine, reason));
+        culprits.forEach(engine -> mTried.add(engine.id()));
+        if (!mayRepeat()) {
+            watchSilence(silenceLimit());
+            return;
+        }
+        mMayHaveRun |= attempt.sent();
+        attempt.cancel();
+        attempt("silence, " + reason);
+    }
+
+    // Ends.
+
+    private void onDeadline() {
+        if (!mEnded) {
+            mAttempt.ifPresent(
+                    attempt -> {
+                        mMayHaveRun |= attempt.sent();
+                        attempt.cancel();
+                    });
+            fail("the time is over");
+        }
+    }
+
+    private void onCallerGone() {
+        if (!mEnded) {
+            mAttempt.ifPresent(ForwardAttempt::cancel);
+            end("gone", "the caller went away");
+            mResponse.abort();
+        }
+    }
+
+    private void onDrained() {
+        mAttempt.ifPresent(ForwardAttempt::resume);
+    }
+
+    private void fail(String reason) {
+        if (mEnded) {
+            return;
+        }
+        if (mStarted) {
+            end("broken", reason);
+            mResponse.abort();
+        } else if (mMayHaveRun) {
+            boolean late = left().compareTo(ANSWER_MARGIN.multipliedBy(2)) < 0;
+            end(late ? "timeout" : "interrupted", reason);
+            mRefusals.interrupted(mExchange, mRequest.facts().requestId(), late);
+        } else {
+            end("refused", reason);
+            mRefusals.notRun(mExchange, mRequest.facts().requestId(), left());
+        }
+    }
+
+    private void end(String outcome, String reason) {
+        mEnded = true;
+        mDeadlineTimer.cancel();
+        mSilenceTimer.cancel();
+        mWatch.stop();
+        log(outcome, reason);
+        mOnEnd.run();
+    }
+
+    // Beliefs and logs.
+
+    private void blame(UpstreamEntry upstream, String reason) {
+        sLogger.atInfo().log(
+                "health: upstream=%s address=%s reason=\"%s\" request=%s",
+                upstream.id(), upstream.address(), reason, mRequest.facts().requestId());
+        mParts.health().onFailure(upstream.id(), nowNs());
+    }
+
+    private void praise(Target target) {
+        mParts.health().onSuccess(target.upstream().id());
+        target.chain()
+                .ifPresent(
+                        chain ->
+                                chain.parts()
+                                        .forEach(
+                                                part ->
+                                                        mParts.health()
+                                                                .onSuccess(part.engine().id())));
+    }
+
+    private static String describe(Target target) {
+        return target.chain().map(Object::toString).orElse(target.upstream().address());
+    }
+
+    private void log(String outcome, String detail) {
+        sLogger.atInfo().log(
+                "request: id=%s outcome=%s route=%s config=%d sends=%d elapsed_ms=%d detail=\"%s\"",
+                mRequest.facts().requestId(),
+                outcome,
+                mRequest.route().name(),
+                mRequest.configVersion(),
+                mSends,
+                elapsed().toMillis(),
+                detail);
+    }
+
+    private long nowNs() {
+        return mParts.scheduler().monotonicNs();
+    }
+
+    private Duration elapsed() {
+        return Duration.ofNanos(nowNs() - mRequest.readNs());
+    }
+
+    private Duration left() {
+        return mRequest.longest().minus(elapsed());
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RegisterFollower.java
@@ -0,0 +1,87 @@
+package org.amaranthpick.server.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthpick.core.register.UpstreamEntry;
+import org.amaranthpick.core.register.UpstreamRegister;
+import org.amaranthpick.core.store.StoreFollower;
+import org.amaranthpick.core.store.StoredObject;
+import org.amaranthpick.core.time.Scheduler;
+
+/** Keeps the register of upstreams. */
+final class RegisterFollower implements StoreFollower.Sink {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private final GatewayDecoder mDecoder;
+    private final UpstreamRegister mRegister;
+    private final Scheduler mScheduler;
+    private final Runnable mOnChange;
+    private boolean mListed;
+
+    RegisterFollower(
+            GatewayDecoder decoder,
+            UpstreamRegister register,
+            Scheduler scheduler,
+            Runnable onChange) {
+        mDecoder = decoder;
+        mRegister = register;
+        mScheduler = scheduler;
+        mOnChange = onChange;
+    }
+
+    boolean listed() {
+        return mListed;
+    }
+
+    @Override
+    public void onList(List<StoredObject> objects) {
+        List<UpstreamEntry> entries = new ArrayList<>();
+        objects.forEach(object -> decode(object).ifPresent(entries::add));
+        mRegister.replaceAll(entries, mScheduler.monotonicNs());
+        mListed = true;
+        sLogger.atInfo().log(
+                "register: listed entries=%d readable=%d", objects.size(), entries.size());
+        mOnChange.run();
+    }
+
+    @Override
+    public void onWritten(StoredObject object) {
+        Optional<UpstreamEntry> entry = decode(object);
+        if (entry.isEmpty()) {
+            mRegister.remove(idOf(object.key()), mScheduler.monotonicNs());
+        } else {
+            UpstreamEntry e = entry.get();
+            sLogger.atInfo().log(
+                    "register: upstream=%s address=%s leaving=%s layers=%s revision=%d",
+                    e.id(),
+                    e.address(),
+                    e.leaving(),
+                    e.layers().map(Object::toString).orElse("none"),
+                    object.version());
+            mRegister.put(e);
+        }
+        mOnChange.run();
+    }
+
+    @Override
+    public void onDeleted(String key) {
+        sLogger.atInfo().log("register: upstream=%s gone", idOf(key));
+        mRegister.remove(idOf(key), mScheduler.monotonicNs());
+        mOnChange.run();
+    }
+
+    @Override
+    public void onRegained() {
+        mRegister.onStoreRegained(mScheduler.monotonicNs());
+    }
+
+    private Optional<UpstreamEntry> decode(StoredObject object) {
+        return mDecoder.upstream(idOf(object.key()), object.value());
+    }
+
+    private String idOf(String key) {
+        return key.substring(mDecoder.registerPrefix().length());
+    }
+}
--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -122,7 +122,9 @@
         request.setMethod(HttpString.tryFromString(mRequest.method()));
         request.setPath(mRequest.path());
         mRequest.headers().forEach((k, v) -> request.getRequestHeaders().put(new HttpString(k), v));
-        request.getRequestHeaders().put(Headers.HOST, mRequest.address().getAuthority());
+        if (!request.getRequestHeaders().contains(Headers.HOST)) {
+            request.getRequestHeaders().put(Headers.HOST, mRequest.address().getAuthority());
+        }
         if (mRequest.body().length > 0) {
             request.getRequestHeaders().put(Headers.CONTENT_LENGTH, mRequest.body().length);
         }
--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingRequest.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingRequest.java
@@ -11,7 +11,7 @@
  * @param address scheme, IP number and port of the receiver
  * @param method HTTP method
  * @param path path with its query, starting with a slash
- * @param headers headers beside Host and Content-Length
+ * @param headers headers beside Content-Length; Host is the receiver's address unless given
  * @param body body bytes, not copied; empty for none
  * @param silence longest time without a byte from the receiver while reading is not paused
  * @param total longest time for the whole call, if bounded
