Close a draining daemon to new requests after the balancer's lag; ask engines for their order count

An engine short of room was taken for a failing one. Change: idle connections close and requests are refused after the balancer's lag; the count is asked for before the first order to a holder; room and failure are told apart; requests of a domain without a chain spread over all others.

--- a/core/src/main/java/org/amaranthpick/core/gateway/TargetChooser.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/TargetChooser.java
@@ -17,7 +17,8 @@
 /**
  * Chooses the upstream of each attempt. Plain services: fewest own requests in progress, own
  * failure domain first among equals. Models: chains of the own domain, drawn in proportion to the
- * requests they have room for; chains elsewhere where the domain has none. Confined to one thread.
+ * requests they have room for; those of all other domains where the own has none. Confined to one
+ * thread.
  */
 public final class TargetChooser {
     /** Time for which chains found are used again when nothing is known to have changed. */
@@ -127,7 +128,7 @@
         }
         List<EngineChain> near =
                 chains.stream().filter(c -> c.first().domain().equals(mDomain)).toList();
-        List<EngineChain> from = near.isEmpty() ? chains.subList(0, 1) : near;
+        List<EngineChain> from = near.isEmpty() ? chains : near;
         double total = from.stream().mapToDouble(TargetChooser::weight).sum();
         double left = mRandom.nextDouble() * total;
         EngineChain drawn = from.get(from.size() - 1);
--- a/core/src/main/java/org/amaranthpick/core/layers/LayerKeeper.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerKeeper.java
@@ -137,7 +137,19 @@
         long untilNs = mScheduler.monotonicNs() + load.plus(ORDER_SLACK).toNanos();
         mPending.put(
                 engine.id(), new Pending(Optional.of(order.layers()), engine.bornMs(), untilNs));
-        long begun = begun(engine);
+        Optional<Long> known = begun(engine);
+        if (known.isEmpty()) {
+            learnBegun(engine, () -> send(engine, order, lease));
+        } else {
+            send(engine, order, lease);
+        }
+    }
+
+    private void send(UpstreamEntry engine, LayerOrder order, Lease lease) {
+        long begun = begun(engine).orElse(0L);
+        if (mLease.held().filter(held -> held.fence() == lease.fence()).isEmpty()) {
+            return;
+        }
         sLogger.atInfo().log(
                 "order: engine=%s address=%s layers=%s held=%s fence=%d begun=%d reason=\"%s\"",
                 engine.id(),
@@ -151,9 +163,13 @@
                 .thenAccept(outcome -> mExecutor.execute(() -> onOutcome(engine, begun, outcome)));
     }
 
-    private long begun(UpstreamEntry engine) {
+    /** Orders begun: none where an engine holds nothing, else what this daemon learnt. */
+    private Optional<Long> begun(UpstreamEntry engine) {
         Begun begun = mBegun.get(engine.id());
-        return begun != null && begun.bornMs() == engine.bornMs() ? begun.orders() : 0;
+        if (begun != null && begun.bornMs() == engine.bornMs()) {
+            return Optional.of(begun.orders());
+        }
+        return engine.layers().isEmpty() ? Optional.of(0L) : Optional.empty();
     }
 
     private void onOutcome(UpstreamEntry engine, long begun, OrderOutcome outcome) {
@@ -168,18 +184,22 @@
         } else if (!(outcome instanceof OrderOutcome.Unknown)) {
             long untilNs = mScheduler.monotonicNs() + REFUSED_WAIT.toNanos();
             mPending.put(engine.id(), new Pending(Optional.empty(), engine.bornMs(), untilNs));
-            learnBegun(engine);
+            learnBegun(engine, () -> {});
         }
     }
 
-    /** Asks an engine that refused an order how many it has begun. */
-    private void learnBegun(UpstreamEntry engine) {
+    /** Asks an engine how many orders it has begun. */
+    private void learnBegun(UpstreamEntry engine, Runnable then) {
         mControl.report(engine)
                 .thenAccept(
                         report -> {
                             if (report instanceof EngineReport.Present present) {
                                 Begun begun = new Begun(engine.bornMs(), present.ordersBegun());
-                                mExecutor.execute(() -> mBegun.put(engine.id(), begun));
+                                mExecutor.execute(
+                                        () -> {
+                                            mBegun.put(engine.id(), begun);
+                                            then.run();
+                                        });
                             }
                         });
     }
--- a/core/src/main/java/org/amaranthpick/core/register/UpstreamHealth.java
+++ b/core/src/main/java/org/amaranthpick/core/register/UpstreamHealth.java
@@ -12,6 +12,10 @@
     private static final Duration FIRST_EXCLUSION = Duration.ofMillis(800);
     private static final Duration LONGEST_EXCLUSION = Duration.ofSeconds(6);
 
+    /** Time for which an upstream that was short of room gets nothing from this daemon. */
+    private static final Duration BUSY_EXCLUSION = Duration.ofMillis(250);
+
+    private final Map<String, Long> mBusyUntilNs = new HashMap<>();
     private final Map<String, Trouble> mTroubles = new HashMap<>();
     private long mVersion;
 
@@ -35,6 +39,27 @@
         mVersion++;
     }
 
+    /**
+     * Notes that the upstream refused a request that it had no room for.
+     *
+     * @param id id of the upstream
+     * @param nowNs monotonic time
+     */
+    public void onBusy(String id, long nowNs) {
+        mBusyUntilNs.put(id, nowNs + BUSY_EXCLUSION.toNanos());
+        mVersion++;
+    }
+
+    /**
+     * Tells whether an upstream failed and has not shown since that it works.
+     *
+     * @param id id of the upstream
+     * @return true until a success
+     */
+    public boolean failing(String id) {
+        return mTroubles.containsKey(id);
+    }
+
     /**
      * Notes that the upstream did its work.
      *
@@ -54,6 +79,10 @@
      * @return true while it is left out
      */
     public boolean excluded(String id, long nowNs) {
+        Long busyUntilNs = mBusyUntilNs.get(id);
+        if (busyUntilNs != null && nowNs < busyUntilNs) {
+            return true;
+        }
         Trouble trouble = mTroubles.get(id);
         return trouble != null && nowNs < trouble.untilNs();
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -171,8 +171,10 @@
         Optional<UpstreamEntry> blamed =
                 notRun.blamed().flatMap(address -> mParts.register().atAddress(address));
         UpstreamEntry culprit = blamed.orElse(attempt.target().upstream());
-        if (attempt.target().chain().isPresent() || notRun.misdirected()) {
+        if (notRun.misdirected()) {
             blame(culprit, reason);
+        } else if (attempt.target().chain().isPresent()) {
+            mParts.health().onBusy(culprit.id(), nowNs());
         }
         mTried.add(culprit.id());
         again(attempt, reason);
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -54,6 +54,9 @@
     private static final Duration HEADER_TIMEOUT = Duration.ofSeconds(10);
     private static final String LEASE = "layers";
 
+    /** Candidates spread over so many ranks, so that they neither poll nor take over together. */
+    private static final int LEASE_RANKS = 8;
+
     private final GatewaySettings mSettings;
     private final XnioWorker mWorker;
     private final IoThreadScheduler mScheduler;
@@ -65,6 +68,7 @@
     private final LayerKeeper mLayers;
     private final HttpConnector mConnector;
     private final GatewayHandler mHandler;
+    private final int mLeaseRank;
     private Undertow mCallers;
     private Undertow mReadiness;
     private boolean mDraining;
@@ -101,6 +105,7 @@
         mRegisterFollower = new RegisterFollower(decoder, register, scheduler, () -> {});
         mConfigurationFeed = follower(store, decoder.configurationPrefix(), random, mConfiguration);
         mRegisterFeed = follower(store, decoder.registerPrefix(), random, mRegisterFollower);
+        mLeaseRank = random.nextInt(LEASE_RANKS);
         mLease = new LeaseKeeper(LEASE, leaseContext(store, decisions, random), this, () -> 0);
         mLayers =
                 new LayerKeeper(
@@ -176,7 +181,12 @@
                     mHandler.drain();
                     mLease.release();
                     long startNs = mScheduler.monotonicNs();
-                    mScheduler.schedule(BALANCER_LAG, () -> checkDrained(startNs, done));
+                    mScheduler.schedule(
+                            BALANCER_LAG,
+                            () -> {
+                                mHandler.close();
+                                checkDrained(startNs, done);
+                            });
                 });
         try {
             boolean drained =
@@ -201,7 +211,7 @@
             return;
         }
         boolean informed = mConfiguration.current().isPresent() && mRegisterFollower.listed();
-        mLease.step(informed ? Optional.of(0) : Optional.empty());
+        mLease.step(informed ? Optional.of(mLeaseRank) : Optional.empty());
         mLayers.step();
         mScheduler.schedule(CONTROL_PERIOD, this::control);
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
@@ -3,15 +3,19 @@
 import com.google.common.flogger.FluentLogger;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.amaranthpick.core.gateway.Credential;
 import org.amaranthpick.core.gateway.GatewayConfiguration;
 import org.amaranthpick.core.gateway.GatewayRoute;
 import org.amaranthpick.core.gateway.GatewayService;
+import org.xnio.IoUtils;
 
 /** Finds the route and the credential of each request and hands it to an exchange. */
 final class GatewayHandler implements HttpHandler {
@@ -21,8 +25,10 @@
     private final GatewayParts mParts;
     private final Supplier<Optional<GatewayConfiguration>> mConfiguration;
     private final Refusals mRefusals;
+    private final Set<ServerConnection> mIdle = new HashSet<>();
     private int mInProgress;
     private boolean mDraining;
+    private boolean mClosed;
 
     GatewayHandler(
             GatewayParts parts,
@@ -38,18 +44,26 @@
         mDraining = true;
     }
 
+    /**
+     * Refuses requests from now on and closes idle connections. A request that crosses the close
+     * was not read, so that its caller may send it again elsewhere.
+     */
+    void close() {
+        mClosed = true;
+        Set.copyOf(mIdle).forEach(IoUtils::safeClose);
+        mIdle.clear();
+    }
+
     int inProgress() {
         return mInProgress;
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        if (mDraining) {
-            exchange.setPersistent(false);
-        }
+        followConnection(exchange);
         CallerFacts facts = mParts.dialect().read(exchange.getRequestHeaders());
         Optional<GatewayConfiguration> configuration = mConfiguration.get();
-        if (configuration.isEmpty()) {
+        if (configuration.isEmpty() || mClosed) {
             mRefusals.notRun(
                     exchange, facts.requestId(), facts.deadline().orElse(UNCONFIGURED_LEFT));
             return;
@@ -57,6 +71,24 @@
         route(exchange, facts, configuration.get());
     }
 
+    /** Knows which connections are idle, to close them while draining. */
+    private void followConnection(HttpServerExchange exchange) {
+        if (mDraining) {
+            exchange.setPersistent(false);
+        }
+        ServerConnection connection = exchange.getConnection();
+        if (!mIdle.remove(connection)) {
+            connection.addCloseListener(mIdle::remove);
+        }
+        exchange.addExchangeCompleteListener(
+                (completed, next) -> {
+                    if (completed.isPersistent() && connection.isOpen()) {
+                        mIdle.add(connection);
+                    }
+                    next.proceed();
+                });
+    }
+
     private void route(
             HttpServerExchange exchange, CallerFacts facts, GatewayConfiguration configuration) {
         Optional<GatewayRoute> route =
