Draw chains by the pace of own streams; mend layers only in calm domains; go on elsewhere sooner

Change: moves wait until a domain has been the same for 1.8 s; silence is measured in usual pauses, answers are shared, streams of one lost engine go on together; requests go to chains by the square of their pace; large cards first. The fixed part of the retry budget is divided by the daemons signed in. Ruled out: room for requests (no preemption in the same window), the caller side (events pass in under 1 ms).

--- a/core/src/main/java/org/amaranthpick/core/gateway/EngineModel.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/EngineModel.java
@@ -18,6 +18,7 @@
  * @param loadSeconds time to load all layers
  * @param activationBytes bytes that a token carries from one part of a chain to the next
  * @param pipeMbps bandwidth between two failure domains, shared by all, in Mbit/s
+ * @param tokensPerEvent tokens that one event of a stream holds
  * @param cards kinds of cards by name
  */
 public record EngineModel(
@@ -34,6 +35,7 @@
         double loadSeconds,
         double activationBytes,
         double pipeMbps,
+        int tokensPerEvent,
         Map<String, CardKind> cards) {
     private static final double BYTES_PER_MB = 1_000_000;
 
--- a/core/src/main/java/org/amaranthpick/core/gateway/RetryAllowance.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/RetryAllowance.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.DoubleSupplier;
 
 /**
  * Repeats that one daemon may send to one service in a sliding window: a share of its own requests
@@ -11,7 +12,7 @@
  */
 public final class RetryAllowance {
     private final double mRatio;
-    private final double mFixed;
+    private final DoubleSupplier mFixed;
     private final long mWindowNs;
     private final Deque<Long> mRequests = new ArrayDeque<>();
     private final Deque<Long> mRepeats = new ArrayDeque<>();
@@ -23,7 +24,7 @@
      * @param fixed repeats in a window beside those
      * @param window length of the window
      */
-    public RetryAllowance(double ratio, double fixed, Duration window) {
+    public RetryAllowance(double ratio, DoubleSupplier fixed, Duration window) {
         mRatio = ratio;
         mFixed = fixed;
         mWindowNs = window.toNanos();
@@ -47,7 +48,7 @@
      */
     public boolean takeRepeat(long nowNs) {
         forget(nowNs);
-        if (mRepeats.size() + 1 > mRatio * mRequests.size() + mFixed) {
+        if (mRepeats.size() + 1 > mRatio * mRequests.size() + mFixed.getAsDouble()) {
             return false;
         }
         mRepeats.addLast(nowNs);
--- a/core/src/main/java/org/amaranthpick/core/gateway/TargetChooser.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/TargetChooser.java
@@ -9,6 +9,7 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.amaranthpick.core.layers.ChainFinder;
+import org.amaranthpick.core.layers.ChainPace;
 import org.amaranthpick.core.layers.EngineChain;
 import org.amaranthpick.core.register.UpstreamEntry;
 import org.amaranthpick.core.register.UpstreamHealth;
@@ -16,9 +17,8 @@
 
 /**
  * Chooses the upstream of each attempt. Plain services: fewest own requests in progress, own
- * failure domain first among equals. Models: chains of the own domain, drawn in proportion to the
- * requests they have room for; those of all other domains where the own has none. Confined to one
- * thread.
+ * failure domain first among equals. Models: disjoint chains of all domains, drawn by their pace.
+ * Confined to one thread.
  */
 public final class TargetChooser {
     /** Time for which chains found are used again when nothing is known to have changed. */
@@ -33,6 +33,7 @@
     private final UpstreamHealth mHealth;
     private final String mDomain;
     private final RandomGenerator mRandom;
+    private final ChainPace mPace = new ChainPace();
     private final Map<String, Integer> mInProgress = new HashMap<>();
     private final Map<String, Found> mFound = new HashMap<>();
 
@@ -72,7 +73,7 @@
             return plain(service.name(), tried, nowNs);
         }
         if (tried.isEmpty()) {
-            return draw(chains(service, service.model().get(), nowNs));
+            return draw(chains(service, service.model().get(), nowNs), nowNs);
         }
         ChainFinder finder = new ChainFinder(service.model().get(), mDomain);
         return finder.find(
@@ -90,6 +91,18 @@
         mInProgress.merge(target.upstream().id(), 1, Integer::sum);
     }
 
+    /**
+     * Notes the pace of a stream.
+     *
+     * @param target where it runs
+     * @param pauseMs time since the event before
+     * @param tokens tokens of the event
+     * @param nowNs monotonic time
+     */
+    public void onEvent(Target target, double pauseMs, int tokens, long nowNs) {
+        target.chain().ifPresent(chain -> mPace.onToken(chain, pauseMs / tokens, nowNs));
+    }
+
     /**
      * Notes that an attempt has ended.
      *
@@ -122,18 +135,15 @@
         return Optional.ofNullable(best).map(entry -> new Target(entry, Optional.empty()));
     }
 
-    private Optional<Target> draw(List<EngineChain> chains) {
+    private Optional<Target> draw(List<EngineChain> chains, long nowNs) {
         if (chains.isEmpty()) {
             return Optional.empty();
         }
-        List<EngineChain> near =
-                chains.stream().filter(c -> c.first().domain().equals(mDomain)).toList();
-        List<EngineChain> from = near.isEmpty() ? chains : near;
-        double total = from.stream().mapToDouble(TargetChooser::weight).sum();
+        double total = chains.stream().mapToDouble(chain -> weight(chain, nowNs)).sum();
         double left = mRandom.nextDouble() * total;
-        EngineChain drawn = from.get(from.size() - 1);
-        for (EngineChain chain : from) {
-            left -= weight(chain);
+        EngineChain drawn = chains.get(chains.size() - 1);
+        for (EngineChain chain : chains) {
+            left -= weight(chain, nowNs);
             if (left < 0) {
                 drawn = chain;
                 break;
@@ -142,9 +152,8 @@
         return Optional.of(new Target(drawn.first(), Optional.of(drawn)));
     }
 
-    /** Requests a chain can finish in a time: its room over the time that each stays. */
-    private static double weight(EngineChain chain) {
-        return chain.kvTokens() / chain.tokenMs();
+    private double weight(EngineChain chain, long nowNs) {
+        return mPace.weight(chain, mDomain, nowNs);
     }
 
     private List<EngineChain> chains(GatewayService service, EngineModel model, long nowNs) {
--- a/core/src/main/java/org/amaranthpick/core/layers/ChainFinder.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/ChainFinder.java
@@ -22,7 +22,7 @@
  */
 public final class ChainFinder {
     /** Added for each part, in ms a token: the hand-over and half a pass of waiting. */
-    private static final double HOP_MS = 0.4;
+    static final double HOP_MS = 0.4;
 
     /** Added for each crossing inside a chain, in ms a token: every token's activations cross. */
     private static final double CROSSING_MS = 6;
--- a/core/src/main/java/org/amaranthpick/core/layers/EngineReport.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/EngineReport.java
@@ -33,6 +33,7 @@
      * There was no answer.
      *
      * @param reason what was seen
+     * @param unreachable whether no connection could be made
      */
-    record Absent(String reason) implements EngineReport {}
+    record Absent(String reason, boolean unreachable) implements EngineReport {}
 }
--- a/core/src/main/java/org/amaranthpick/core/layers/LayerKeeper.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerKeeper.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.amaranthpick.core.gateway.CardKind;
@@ -31,6 +33,12 @@
     /** Added to the time of a load before an order that shows no effect is given again. */
     private static final Duration ORDER_SLACK = Duration.ofSeconds(4);
 
+    /**
+     * Time without an engine coming or going in a domain before engines that hold layers are moved:
+     * after a cut the register fills again within about two heartbeats.
+     */
+    private static final Duration SETTLE = Duration.ofMillis(1800);
+
     /** Wait before an engine that refused an order gets another. */
     private static final Duration REFUSED_WAIT = Duration.ofSeconds(2);
 
@@ -42,8 +50,12 @@
     private final Scheduler mScheduler;
     private final Executor mExecutor;
     private final Map<String, Pending> mPending = new HashMap<>();
+    private final Map<String, Members> mMembers = new HashMap<>();
     private final Map<String, Begun> mBegun = new HashMap<>();
 
+    /** Engines of one domain, and since when they have been these. */
+    private record Members(Set<String> ids, long sinceNs) {}
+
     /** Orders that an engine has begun since a start, as far as known. */
     private record Begun(long bornMs, long orders) {}
 
@@ -83,6 +95,7 @@
         Optional<Lease> lease = mLease.held();
         if (lease.isEmpty() || mConfiguration.get().isEmpty()) {
             mPending.clear();
+            mMembers.clear();
             return;
         }
         settle();
@@ -121,11 +134,32 @@
                             : entry.layers();
             engines.add(new HolderState(entry.id(), entry.domain(), card, layers, pending == null));
         }
-        for (LayerOrder order : new LayerPlanner(model).plan(engines)) {
+        noteMembers(service, nowNs);
+        for (LayerOrder order :
+                new LayerPlanner(model).plan(engines, domain -> calm(service, domain, nowNs))) {
             mRegister.find(order.engineId()).ifPresent(e -> give(e, order, model, lease));
         }
     }
 
+    private void noteMembers(String service, long nowNs) {
+        Map<String, Set<String>> present = new HashMap<>();
+        for (UpstreamEntry entry : mRegister.ofService(service)) {
+            present.computeIfAbsent(entry.domain(), domain -> new HashSet<>()).add(entry.id());
+        }
+        present.forEach(
+                (domain, ids) -> {
+                    Members before = mMembers.get(service + "/" + domain);
+                    if (before == null || !before.ids().equals(ids)) {
+                        mMembers.put(service + "/" + domain, new Members(ids, nowNs));
+                    }
+                });
+    }
+
+    private boolean calm(String service, String domain, long nowNs) {
+        Members members = mMembers.get(service + "/" + domain);
+        return members != null && nowNs - members.sinceNs() >= SETTLE.toNanos();
+    }
+
     private void give(UpstreamEntry engine, LayerOrder order, EngineModel model, Lease lease) {
         Duration load =
                 Duration.ofMillis(
--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.amaranthpick.core.gateway.EngineModel;
 import org.amaranthpick.core.manifest.LayerRange;
 
@@ -47,12 +48,14 @@
      * Compares what is held with what is wanted.
      *
      * @param engines engines in service
+     * @param calm tells whether the engines of a failure domain have been the same for a while;
+     *     where they have not, only empty engines get orders, since lost ones may be back soon
      * @return orders to give now, one for each engine at most
      */
-    public List<LayerOrder> plan(List<HolderState> engines) {
+    public List<LayerOrder> plan(List<HolderState> engines, Predicate<String> calm) {
         List<LayerOrder> orders = new ArrayList<>();
         for (List<HolderState> group : groups(engines)) {
-            planGroup(group, orders);
+            planGroup(group, calm, orders);
         }
         return orders;
     }
@@ -81,7 +84,8 @@
         return engines.stream().mapToDouble(e -> e.card().memoryMb()).sum();
     }
 
-    private void planGroup(List<HolderState> group, List<LayerOrder> orders) {
+    private void planGroup(
+            List<HolderState> group, Predicate<String> calm, List<LayerOrder> orders) {
         double roomTokens = roomTokens(group);
         int[] held = coverage(group);
         List<HolderState> empty = new ArrayList<>();
@@ -91,8 +95,7 @@
             }
         }
         empty.sort(
-                Comparator.comparingDouble((HolderState e) -> e.card().stepFactor())
-                        .thenComparingDouble(e -> -e.card().memoryMb())
+                Comparator.comparingDouble((HolderState e) -> layerMs(e, roomTokens))
                         .thenComparing(HolderState::id));
         int copies = 0;
         for (HolderState engine : empty) {
@@ -108,7 +111,9 @@
             String reason = copies == 0 ? "missing layers" : "copy " + (copies + 1);
             orders.add(order(engine, hole.get(), size, held, reason));
         }
-        mendHoles(group, held, orders, roomTokens);
+        if (group.stream().map(HolderState::domain).allMatch(calm)) {
+            mendHoles(group, held, orders, roomTokens);
+        }
     }
 
     private LayerOrder order(HolderState engine, int from, int size, int[] held, String reason) {
@@ -119,6 +124,12 @@
         return new LayerOrder(engine.id(), new LayerRange(from, to), reason);
     }
 
+    /** Time that one layer adds to a token step there, its share of the hand-over included. */
+    private double layerMs(HolderState engine, double roomTokens) {
+        double stepMs = mModel.stepMs() * engine.card().stepFactor() / mModel.layers();
+        return stepMs + ChainFinder.HOP_MS / Math.max(1, size(engine, roomTokens));
+    }
+
     /** Layers nobody holds, with no empty engine left. */
     private void mendHoles(
             List<HolderState> group, int[] held, List<LayerOrder> orders, double roomTokens) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -10,8 +10,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.amaranthpick.core.gateway.EngineModel;
 import org.amaranthpick.core.gateway.EventCursor;
 import org.amaranthpick.core.gateway.RetryAllowance;
+import org.amaranthpick.core.gateway.SilenceLimit;
 import org.amaranthpick.core.gateway.Target;
 import org.amaranthpick.core.gateway.UpstreamVerdict;
 import org.amaranthpick.core.layers.EngineReport;
@@ -25,15 +27,11 @@
 final class ForwardedExchange {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
+    private static final double NS_PER_MS = 1e6;
+
     /** Sends of one request at most, those that upstreams refused included. */
     private static final int MOST_SENDS = 4;
 
-    /** Silence of a stream, in objectives, after which the engine is asked about it. */
-    private static final double SILENT_GAPS = 2.5;
-
-    /** Shortest silence after which an engine is asked about a stream. */
-    private static final Duration SHORTEST_SILENCE = Duration.ofMillis(400);
-
     /** Time kept of the deadline to bring the final answer to the caller. */
     private static final Duration ANSWER_MARGIN = Duration.ofMillis(20);
 
@@ -41,7 +39,7 @@
     private final ForwardedRequest mRequest;
     private final GatewayParts mParts;
     private final Refusals mRefusals;
-    private final Runnable mOnEnd;
+    private final ExchangeOwner mOwner;
     private final CallerResponse mResponse;
     private final EventCursor mCursor;
     private final Set<String> mTried = new HashSet<>();
@@ -49,6 +47,7 @@
     private Optional<ForwardAttempt> mAttempt = Optional.empty();
     private Cancellable mDeadlineTimer = () -> {};
     private Cancellable mSilenceTimer = () -> {};
+    private final SilenceLimit mSilence;
     private long mLastEventNs;
     private int mSends;
     private int mRuns;
@@ -56,20 +55,30 @@
     private boolean mStarted;
     private boolean mEnded;
 
+    /** Told of what concerns other exchanges. */
+    interface ExchangeOwner {
+        /** The exchange has ended. */
+        void onEnded(ForwardedExchange exchange);
+
+        /** An engine was found not to answer. */
+        void onEngineLost(String engineId, String reason);
+    }
+
     ForwardedExchange(
             HttpServerExchange exchange,
             ForwardedRequest request,
             GatewayParts parts,
             Refusals refusals,
-            Runnable onEnd) {
+            ExchangeOwner owner) {
         mExchange = exchange;
         mRequest = request;
         mParts = parts;
         mRefusals = refusals;
-        mOnEnd = onEnd;
+        mOwner = owner;
         mResponse =
                 new CallerResponse(exchange, parts.dialect(), this::onCallerGone, this::onDrained);
         mCursor = new EventCursor(request.facts().lastEventId());
+        mSilence = new SilenceLimit(request.route());
     }
 
     void start() {
@@ -86,6 +95,7 @@
             return;
         }
         mSends++;
+        mSilence.onAttempt();
         mLastEventNs = nowNs();
         Duration left = left();
         UpstreamTerms terms =
@@ -105,7 +115,7 @@
                         mParts.dialect().toUpstream(mRequest.headers(), terms),
                         left.plus(ANSWER_MARGIN));
         mAttempt = Optional.of(attempt);
-        watchSilence(silenceLimit());
+        watchSilence(mSilence.limit());
         attempt.start();
     }
 
@@ -124,7 +134,17 @@
         if (events.length == 0) {
             return;
         }
-        mLastEventNs = nowNs();
+        long nowNs = nowNs();
+        if (mSilence.sawEvent() && mAttempt.isPresent()) {
+            mParts.chooser()
+                    .onEvent(
+                            mAttempt.get().target(),
+                            (nowNs - mLastEventNs) / NS_PER_MS,
+                            mRequest.service().model().map(EngineModel::tokensPerEvent).orElse(1),
+                            nowNs);
+        }
+        mSilence.onEvent(Duration.ofNanos(nowNs - mLastEventNs));
+        mLastEventNs = nowNs;
         if (!mResponse.piece(events)) {
             mAttempt.ifPresent(ForwardAttempt::pause);
         }
@@ -181,8 +201,7 @@
     }
 
     void onLost(ForwardAttempt attempt, String reason) {
-        mMayHaveRun = true;
-        mRuns++;
+        noteRun(attempt);
         if (!mStarted || attempt.target().chain().isEmpty()) {
             blame(attempt.target().upstream(), reason);
         }
@@ -197,6 +216,14 @@
         }
     }
 
+    /** A chain runs a request from its first event on; a plain service may from the first byte. */
+    private void noteRun(ForwardAttempt attempt) {
+        mMayHaveRun |= attempt.sent();
+        if (attempt.sent() && (attempt.target().chain().isEmpty() || mSilence.sawEvent())) {
+            mRuns++;
+        }
+    }
+
     /** Sends a request again that has not run at its last attempt. */
     private void again(ForwardAttempt attempt, String reason) {
         mTried.add(attempt.target().upstream().id());
@@ -221,16 +248,6 @@
 
     // Silence.
 
-    private Duration silenceLimit() {
-        if (mRequest.isStream()) {
-            Duration objective =
-                    mRequest.route().targetGap().orElse(mRequest.route().targetLatency());
-            Duration limit = Duration.ofMillis((long) (objective.toMillis() * SILENT_GAPS));
-            return limit.compareTo(SHORTEST_SILENCE) > 0 ? limit : SHORTEST_SILENCE;
-        }
-        return mRequest.route().targetLatency().multipliedBy(2);
-    }
-
     private void watchSilence(Duration delay) {
         mSilenceTimer.cancel();
         if (mRequest.route().repeatable()) {
@@ -242,7 +259,7 @@
         if (mEnded || mAttempt.isEmpty()) {
             return;
         }
-        Duration left = silenceLimit().minusNanos(nowNs() - mLastEventNs);
+        Duration left = mSilence.limit().minusNanos(nowNs() - mLastEventNs);
         if (left.compareTo(Duration.ofMillis(1)) > 0) {
             watchSilence(left);
             return;
@@ -262,7 +279,14 @@
             return;
         }
         if (report instanceof EngineReport.Absent absent) {
-            onSilent(asked, List.of(asked.target().upstream()), absent.reason());
+            boolean silentLong =
+                    nowNs() - mLastEventNs > mRequest.route().targetLatency().toNanos() * 2;
+            if (absent.unreachable() || silentLong) {
+                onSilent(asked, List.of(asked.target().upstream()), absent.reason());
+            } else {
+                mSilence.onFalseAlarm();
+                watchSilence(mSilence.limit());
+            }
             return;
         }
         List<String> stalled =
@@ -274,20 +298,45 @@
                         .flatMap(address -> mParts.register().atAddress(address).stream())
                         .toList();
         if (culprits.isEmpty()) {
-            watchSilence(silenceLimit());
+            mSilence.onFalseAlarm();
+            watchSilence(mSilence.limit());
         } else {
             onSilent(asked, culprits, "stalled at " + stalled);
         }
     }
 
+    /**
+     * An engine was found not to answer. If this stream passes through it and is silent too, it
+     * goes on elsewhere without asking again.
+     */
+    void onEngineLost(String engineId, String reason) {
+        boolean affected =
+                !mEnded
+                        && mRequest.route().repeatable()
+                        && mAttempt.flatMap(a -> a.target().chain())
+                                .filter(chain -> chain.contains(engineId))
+                                .isPresent();
+        if (affected && mSilence.isLong(Duration.ofNanos(nowNs() - mLastEventNs))) {
+            mTried.add(engineId);
+            switchFrom(mAttempt.get(), reason);
+        }
+    }
+
     private void onSilent(ForwardAttempt attempt, List<UpstreamEntry> culprits, String reason) {
         culprits.forEach(engine -> blame(engine, reason));
         culprits.forEach(engine -> mTried.add(engine.id()));
+        switchFrom(attempt, reason);
+        culprits.forEach(engine -> mOwner.onEngineLost(engine.id(), reason));
+    }
+
+    private void switchFrom(ForwardAttempt attempt, String reason) {
+        int runsBefore = mRuns;
+        noteRun(attempt);
         if (!mayRepeat()) {
-            watchSilence(silenceLimit());
+            mRuns = runsBefore;
+            watchSilence(mSilence.limit());
             return;
         }
-        mMayHaveRun |= attempt.sent();
         attempt.cancel();
         attempt("silence, " + reason);
     }
@@ -340,7 +389,7 @@
         mSilenceTimer.cancel();
         mWatch.stop();
         log(outcome, reason);
-        mOnEnd.run();
+        mOwner.onEnded(this);
     }
 
     // Beliefs and logs.
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -17,8 +17,10 @@
 import org.amaranthpick.core.invariant.Invariants;
 import org.amaranthpick.core.layers.EngineControl;
 import org.amaranthpick.core.layers.LayerKeeper;
+import org.amaranthpick.core.layers.SharedReports;
 import org.amaranthpick.core.placement.LeaseContext;
 import org.amaranthpick.core.placement.LeaseKeeper;
+import org.amaranthpick.core.register.DaemonRoll;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
 import org.amaranthpick.core.store.ObjectStore;
@@ -33,8 +35,8 @@
 public final class Gateway implements AutoCloseable {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
-    /** Part of the fixed retry budget that one daemon takes; there are at most as many daemons. */
-    private static final double RETRY_EXTRA_SHARE = 1.0 / 32;
+    /** Part of the fixed retry budget that all daemons together take. */
+    private static final double RETRY_EXTRA_USED = 0.7;
 
     /** Connections are not used again, so that no answer meets another request's. */
     private static final Duration NO_REUSE = Duration.ZERO;
@@ -64,6 +66,7 @@
     private final RegisterFollower mRegisterFollower;
     private final StoreFollower mConfigurationFeed;
     private final StoreFollower mRegisterFeed;
+    private final DaemonRoll mRoll;
     private final LeaseKeeper mLease;
     private final LayerKeeper mLayers;
     private final HttpConnector mConnector;
@@ -105,8 +108,12 @@
         mRegisterFollower = new RegisterFollower(decoder, register, scheduler, () -> {});
         mConfigurationFeed = follower(store, decoder.configurationPrefix(), random, mConfiguration);
         mRegisterFeed = follower(store, decoder.registerPrefix(), random, mRegisterFollower);
+        WriterTokens tokens = new WriterTokens(settings.host(), random.nextLong());
+        mRoll = new DaemonRoll(store, tokens, settings.host(), scheduler, scheduler, random);
         mLeaseRank = random.nextInt(LEASE_RANKS);
-        mLease = new LeaseKeeper(LEASE, leaseContext(store, decisions, random), this, () -> 0);
+        mLease =
+                new LeaseKeeper(
+                        LEASE, leaseContext(store, tokens, decisions, random), this, () -> 0);
         mLayers =
                 new LayerKeeper(
                         mConfiguration::current,
@@ -130,10 +137,10 @@
                         register,
                         health,
                         new TargetChooser(register, health, settings.domain(), random),
-                        engines,
+                        new SharedReports(engines, scheduler),
                         new RetryAllowances(
                                 settings.retryRatio(),
-                                settings.retryExtra() * RETRY_EXTRA_SHARE,
+                                () -> settings.retryExtra() * RETRY_EXTRA_USED / mRoll.count(),
                                 settings.retryWindow()),
                         random);
         mHandler =
@@ -141,8 +148,7 @@
     }
 
     private LeaseContext leaseContext(
-            ObjectStore store, DecisionLog decisions, RandomGenerator random) {
-        WriterTokens tokens = new WriterTokens(mSettings.host(), random.nextLong());
+            ObjectStore store, WriterTokens tokens, DecisionLog decisions, RandomGenerator random) {
         return new LeaseContext(
                 store,
                 mScheduler,
@@ -163,6 +169,7 @@
     public void start() {
         mConfigurationFeed.start();
         mRegisterFeed.start();
+        mRoll.start();
         mReadiness = listener(mSettings.readiness(), this::tellReadiness);
         mCallers = listener(mSettings.callers(), mHandler);
         mScheduler.schedule(Duration.ZERO, this::control);
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
@@ -18,7 +18,7 @@
 import org.xnio.IoUtils;
 
 /** Finds the route and the credential of each request and hands it to an exchange. */
-final class GatewayHandler implements HttpHandler {
+final class GatewayHandler implements HttpHandler, ForwardedExchange.ExchangeOwner {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final Duration UNCONFIGURED_LEFT = Duration.ofSeconds(2);
 
@@ -26,7 +26,7 @@
     private final Supplier<Optional<GatewayConfiguration>> mConfiguration;
     private final Refusals mRefusals;
     private final Set<ServerConnection> mIdle = new HashSet<>();
-    private int mInProgress;
+    private final Set<ForwardedExchange> mInProgress = new HashSet<>();
     private boolean mDraining;
     private boolean mClosed;
 
@@ -55,7 +55,7 @@
     }
 
     int inProgress() {
-        return mInProgress;
+        return mInProgress.size();
     }
 
     @Override
@@ -162,12 +162,23 @@
         exchange.dispatch(
                 mParts.scheduler(),
                 () -> {
-                    mInProgress++;
-                    new ForwardedExchange(exchange, request, mParts, mRefusals, () -> mInProgress--)
-                            .start();
+                    ForwardedExchange forwarded =
+                            new ForwardedExchange(exchange, request, mParts, mRefusals, this);
+                    mInProgress.add(forwarded);
+                    forwarded.start();
                 });
     }
 
+    @Override
+    public void onEnded(ForwardedExchange exchange) {
+        mInProgress.remove(exchange);
+    }
+
+    @Override
+    public void onEngineLost(String engineId, String reason) {
+        Set.copyOf(mInProgress).forEach(other -> other.onEngineLost(engineId, reason));
+    }
+
     private static int rank(GatewayRoute route, Optional<Credential> credential) {
         return credential
                 .map(Credential::priority)
