--- /dev/null
+++ b/core/src/test/java/org/amaranthpick/core/gateway/EventCursorTest.java
@@ -0,0 +1,51 @@
+package org.amaranthpick.core.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class EventCursorTest {
+    private static final String EVENTS =
+            "id: 1\ndata: a\n\nweight-versions: 2\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n";
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 5, 7, 16, 100})
+    void passesWholeEventsHoweverTheBytesAreCut(int piece) {
+        EventCursor cursor = new EventCursor(OptionalLong.empty());
+        StringBuilder passed = new StringBuilder();
+        for (int at = 0; at < EVENTS.length(); at += piece) {
+            passed.append(
+                    take(cursor, EVENTS.substring(at, Math.min(at + piece, EVENTS.length()))));
+        }
+        assertEquals(EVENTS, passed.toString());
+        assertEquals(OptionalLong.of(3), cursor.lastId());
+        assertFalse(cursor.hasPartial());
+    }
+
+    @Test
+    void keepsHalfAnEventBackAndDropsItWhenAnotherUpstreamGoesOn() {
+        EventCursor cursor = new EventCursor(OptionalLong.empty());
+        assertEquals("id: 1\ndata: a\n\n", take(cursor, "id: 1\ndata: a\n\nid: 2\nda"));
+        assertTrue(cursor.hasPartial());
+        cursor.dropPartial();
+        assertEquals("id: 2\ndata: b\n\n", take(cursor, "id: 2\ndata: b\n\n"));
+    }
+
+    @Test
+    void passesNoEventTwice() {
+        EventCursor cursor = new EventCursor(OptionalLong.of(4));
+        assertEquals("id: 5\n\n", take(cursor, "id: 3\n\nid: 4\n\nid: 5\n\nid: 5\n\n"));
+    }
+
+    private static String take(EventCursor cursor, String bytes) {
+        ByteBuffer buffer = ByteBuffer.wrap(bytes.getBytes(StandardCharsets.UTF_8));
+        return new String(cursor.take(buffer), StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/amaranthpick/core/layers/LayerKeeperTest.java
@@ -0,0 +1,182 @@
+package org.amaranthpick.core.layers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.amaranthpick.core.gateway.GatewayConfiguration;
+import org.amaranthpick.core.gateway.GatewayLimits;
+import org.amaranthpick.core.gateway.GatewayService;
+import org.amaranthpick.core.invariant.Invariants;
+import org.amaranthpick.core.manifest.LayerRange;
+import org.amaranthpick.core.placement.LeaseContext;
+import org.amaranthpick.core.placement.LeaseKeeper;
+import org.amaranthpick.core.placement.PlacementSettings;
+import org.amaranthpick.core.register.UpstreamEntry;
+import org.amaranthpick.core.register.UpstreamHealth;
+import org.amaranthpick.core.register.UpstreamRegister;
+import org.amaranthpick.core.store.MemoryObjectStore;
+import org.amaranthpick.core.store.WriterTokens;
+import org.amaranthpick.core.time.VirtualScheduler;
+import org.junit.jupiter.api.Test;
+
+class LayerKeeperTest {
+    private final VirtualScheduler mScheduler = new VirtualScheduler(Instant.EPOCH);
+    private final UpstreamRegister mRegister = new UpstreamRegister();
+    private final FakeEngines mEngines = new FakeEngines();
+    private final LeaseKeeper mLease =
+            new LeaseKeeper(
+                    "layers",
+                    new LeaseContext(
+                            new MemoryObjectStore(),
+                            mScheduler,
+                            new WriterTokens("h", 1),
+                            (kind, subject, text) -> {},
+                            new Invariants(),
+                            new SplittableRandom(5),
+                            PlacementSettings.defaults(),
+                            "h"),
+                    this,
+                    () -> 0);
+    private final LayerKeeper mKeeper =
+            new LayerKeeper(
+                    () -> Optional.of(configuration()),
+                    mRegister,
+                    new UpstreamHealth(),
+                    mEngines,
+                    mLease,
+                    mScheduler,
+                    Runnable::run);
+
+    private static GatewayConfiguration configuration() {
+        GatewayService service = new GatewayService("llm", 10, Optional.of(LayerSites.model()));
+        return new GatewayConfiguration(
+                1,
+                List.of(),
+                Map.of("llm", service),
+                Map.of(),
+                false,
+                new GatewayLimits(1, Duration.ofSeconds(1), Duration.ofSeconds(1)));
+    }
+
+    private void run(Duration time) {
+        for (long ms = 0; ms < time.toMillis(); ms += 250) {
+            mLease.step(Optional.of(0));
+            mKeeper.step();
+            mScheduler.advance(Duration.ofMillis(250));
+        }
+    }
+
+    private void register(Map<String, LayerRange> layers) {
+        for (UpstreamEntry entry : LayerSites.entries(LayerSites.site())) {
+            mRegister.put(
+                    new UpstreamEntry(
+                            entry.id(),
+                            entry.service(),
+                            entry.address(),
+                            entry.domain(),
+                            false,
+                            entry.slots(),
+                            entry.card(),
+                            Optional.ofNullable(layers.get(entry.id())),
+                            entry.bornMs()));
+        }
+    }
+
+    @Test
+    void nothingIsOrderedWithoutTheLease() {
+        register(Map.of());
+        for (int i = 0; i < 10; i++) {
+            mKeeper.step();
+        }
+        assertEquals(List.of(), mEngines.mOrders);
+    }
+
+    @Test
+    void everyEngineGetsOneOrderAndNoneAgainOnceItHolds() {
+        register(Map.of());
+        run(Duration.ofSeconds(14));
+        register(mEngines.mHeld);
+        int first = mEngines.mOrders.size();
+        assertEquals(mRegister.ofService("llm").size(), first);
+        run(Duration.ofSeconds(10));
+        assertEquals(first, mEngines.mOrders.size());
+    }
+
+    /** A new holder of the lease knows nothing of the orders that the one before it gave. */
+    @Test
+    void anEngineThatHoldsLayersIsAskedForItsCountBeforeItsFirstOrder() {
+        register(Map.of());
+        run(Duration.ofSeconds(14));
+        Map<String, LayerRange> held = new HashMap<>(mEngines.mHeld);
+        LayerKeeper next =
+                new LayerKeeper(
+                        () -> Optional.of(configuration()),
+                        mRegister,
+                        new UpstreamHealth(),
+                        mEngines,
+                        mLease,
+                        mScheduler,
+                        Runnable::run);
+        register(held);
+        mRegister.remove("b-mid-0", mScheduler.monotonicNs());
+        for (int i = 0; i < 20; i++) {
+            mLease.step(Optional.of(0));
+            next.step();
+            mScheduler.advance(Duration.ofMillis(250));
+        }
+        assertTrue(mEngines.mReports > 0);
+        assertEquals(0, mEngines.mConflicts);
+    }
+
+    @Test
+    void aHigherFenceEndsTheLeaseAtOnce() {
+        register(Map.of());
+        mEngines.mFenced = true;
+        run(Duration.ofSeconds(13));
+        assertTrue(mLease.held().isEmpty());
+    }
+
+    /** Engines that check what they expect, as the platform's do. */
+    private static final class FakeEngines implements EngineControl {
+        private final List<String> mOrders = new ArrayList<>();
+        private final Map<String, LayerRange> mHeld = new HashMap<>();
+        private final Map<String, Long> mBegun = new HashMap<>();
+        private int mReports;
+        private int mConflicts;
+        private boolean mFenced;
+
+        @Override
+        public CompletionStage<OrderOutcome> hold(
+                UpstreamEntry engine, LayerRange layers, long fence, long ordersBegun) {
+            mOrders.add(engine.id());
+            if (mFenced) {
+                return CompletableFuture.completedFuture(new OrderOutcome.Fenced());
+            }
+            if (mBegun.getOrDefault(engine.id(), 0L) != ordersBegun) {
+                mConflicts++;
+                return CompletableFuture.completedFuture(new OrderOutcome.Conflict());
+            }
+            mBegun.put(engine.id(), ordersBegun + 1);
+            mHeld.put(engine.id(), layers);
+            return CompletableFuture.completedFuture(new OrderOutcome.Accepted());
+        }
+
+        @Override
+        public CompletionStage<EngineReport> report(UpstreamEntry engine) {
+            mReports++;
+            long begun = mBegun.getOrDefault(engine.id(), 0L);
+            return CompletableFuture.completedFuture(
+                    new EngineReport.Present(begun, 0, 0, 0, 0, Map.of()));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/amaranthpick/core/layers/LayerSites.java
@@ -0,0 +1,87 @@
+package org.amaranthpick.core.layers;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthpick.core.gateway.CardKind;
+import org.amaranthpick.core.gateway.EngineModel;
+import org.amaranthpick.core.manifest.LayerRange;
+import org.amaranthpick.core.register.UpstreamEntry;
+
+/** Fleets of mixed cards in the shape of the users' sites. */
+final class LayerSites {
+    static final Map<String, CardKind> CARDS =
+            Map.of(
+                    "big", new CardKind(72_000, 1.4, 1),
+                    "mid", new CardKind(36_000, 3.1, 3.2),
+                    "small", new CardKind(21_600, 16, 8.2),
+                    "tiny", new CardKind(14_400, 15, 15));
+
+    private LayerSites() {}
+
+    static EngineModel model() {
+        return new EngineModel(
+                80, 1750, 845_373, 134, 0.85, 0.0055, 0.0073, 196_000, 772, 174, 14, 42_268, 11_000,
+                2, CARDS);
+    }
+
+    /** Three domains; each holds more than one copy and less than three. */
+    static List<HolderState> site() {
+        List<HolderState> engines = new ArrayList<>();
+        add(engines, "a", "big", 1);
+        add(engines, "a", "mid", 1);
+        add(engines, "a", "small", 5);
+        add(engines, "a", "tiny", 7);
+        add(engines, "b", "mid", 1);
+        add(engines, "b", "small", 8);
+        add(engines, "b", "tiny", 3);
+        add(engines, "c", "mid", 2);
+        add(engines, "c", "small", 4);
+        add(engines, "c", "tiny", 7);
+        return engines;
+    }
+
+    static void add(List<HolderState> engines, String domain, String card, int count) {
+        for (int i = 0; i < count; i++) {
+            String id = domain + "-" + card + "-" + i;
+            engines.add(new HolderState(id, domain, CARDS.get(card), Optional.empty(), true));
+        }
+    }
+
+    /** Carries orders out. */
+    static List<HolderState> apply(List<HolderState> engines, List<LayerOrder> orders) {
+        Map<String, LayerRange> ordered = new HashMap<>();
+        orders.forEach(order -> ordered.put(order.engineId(), order.layers()));
+        return engines.stream()
+                .map(
+                        e ->
+                                new HolderState(
+                                        e.id(),
+                                        e.domain(),
+                                        e.card(),
+                                        Optional.ofNullable(ordered.get(e.id())).or(e::layers),
+                                        true))
+                .toList();
+    }
+
+    /** Registers engines. */
+    static List<UpstreamEntry> entries(List<HolderState> engines) {
+        List<UpstreamEntry> entries = new ArrayList<>();
+        for (HolderState engine : engines) {
+            entries.add(
+                    new UpstreamEntry(
+                            engine.id(),
+                            "llm",
+                            "10.0.0." + entries.size() + ":80",
+                            engine.domain(),
+                            false,
+                            134,
+                            Optional.of(engine.id().split("-", -1)[1]),
+                            engine.layers(),
+                            1));
+        }
+        return entries;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/amaranthpick/core/layers/SharedReportsTest.java
@@ -0,0 +1,59 @@
+package org.amaranthpick.core.layers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.amaranthpick.core.manifest.LayerRange;
+import org.amaranthpick.core.register.UpstreamEntry;
+import org.amaranthpick.core.time.VirtualScheduler;
+import org.junit.jupiter.api.Test;
+
+class SharedReportsTest {
+    private final VirtualScheduler mScheduler = new VirtualScheduler(Instant.EPOCH);
+    private final CountingControl mControl = new CountingControl();
+    private final SharedReports mReports = new SharedReports(mControl, mScheduler);
+    private final UpstreamEntry mEngine =
+            new UpstreamEntry(
+                    "e",
+                    "llm",
+                    "10.0.0.1:80",
+                    "z",
+                    false,
+                    4,
+                    Optional.empty(),
+                    Optional.empty(),
+                    1);
+
+    /** Twenty streams of one chain fall silent in the same tenth of a second. */
+    @Test
+    void streamsThatFallSilentTogetherAskOnce() {
+        for (int i = 0; i < 20; i++) {
+            mReports.report(mEngine);
+            mScheduler.advance(Duration.ofMillis(5));
+        }
+        assertEquals(1, mControl.mReports);
+        mScheduler.advance(Duration.ofMillis(300));
+        mReports.report(mEngine);
+        assertEquals(2, mControl.mReports);
+    }
+
+    private static final class CountingControl implements EngineControl {
+        private int mReports;
+
+        @Override
+        public CompletionStage<OrderOutcome> hold(
+                UpstreamEntry engine, LayerRange layers, long fence, long ordersBegun) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletionStage<EngineReport> report(UpstreamEntry engine) {
+            mReports++;
+            return new CompletableFuture<>();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/amaranthpick/core/register/UpstreamRegisterTest.java
@@ -0,0 +1,68 @@
+package org.amaranthpick.core.register;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class UpstreamRegisterTest {
+    private static final long MS = 1_000_000L;
+
+    private final UpstreamRegister mRegister = new UpstreamRegister();
+
+    private static UpstreamEntry entry(String id, boolean leaving) {
+        return new UpstreamEntry(
+                id, "svc", "10.0.0.1:80", "z", leaving, 4, Optional.empty(), Optional.empty(), 1);
+    }
+
+    @Test
+    void anEntryThatGoesIsGoneAtOnce() {
+        mRegister.replaceAll(List.of(entry("a", false), entry("b", false)), 0);
+        mRegister.remove("a", 1);
+        assertEquals(1, mRegister.ofService("svc").size());
+        assertFalse(mRegister.find("a").isPresent());
+    }
+
+    @Test
+    void entriesMissingAfterAnOutageStayForTheGraceTime() {
+        mRegister.replaceAll(List.of(entry("a", false), entry("b", false)), 0);
+        mRegister.onStoreRegained(1000 * MS);
+        mRegister.replaceAll(List.of(entry("b", false)), 1000 * MS);
+        assertTrue(mRegister.find("a").isPresent());
+        mRegister.expire(3100 * MS);
+        assertTrue(mRegister.find("a").isPresent());
+        mRegister.expire(3200 * MS);
+        assertFalse(mRegister.find("a").isPresent());
+    }
+
+    @Test
+    void anEntryThatIsBackInTimeStays() {
+        mRegister.replaceAll(List.of(entry("a", false)), 0);
+        mRegister.onStoreRegained(0);
+        mRegister.replaceAll(List.of(), 0);
+        mRegister.put(entry("a", false));
+        mRegister.expire(5000 * MS);
+        assertTrue(mRegister.find("a").isPresent());
+    }
+
+    @Test
+    void aLeavingEntryGetsNoGrace() {
+        mRegister.replaceAll(List.of(entry("a", true)), 0);
+        mRegister.onStoreRegained(0);
+        mRegister.remove("a", 1);
+        assertFalse(mRegister.find("a").isPresent());
+    }
+
+    @Test
+    void theVersionGrowsWithChangesOnly() {
+        mRegister.put(entry("a", false));
+        long version = mRegister.version();
+        mRegister.put(entry("a", false));
+        assertEquals(version, mRegister.version());
+        mRegister.put(entry("a", true));
+        assertTrue(mRegister.version() > version);
+    }
+}
--- a/server/src/main/java/org/amaranthpick/server/gateway/CallerResponse.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/CallerResponse.java
@@ -63,6 +63,12 @@
     /** Sends the head of an answer whose pieces follow. */
     void begin(int status, HeaderMap headers) {
         head(status, headers);
+        if (!mExchange.isHttp10()) {
+            // Otherwise the end of a connection that closes would pass for the end of the answer.
+            mExchange
+                    .getResponseHeaders()
+                    .put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        }
         start();
     }
 
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -10,13 +10,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.amaranthpick.core.gateway.EngineModel;
 import org.amaranthpick.core.gateway.EventCursor;
 import org.amaranthpick.core.gateway.RetryAllowance;
-import org.amaranthpick.core.gateway.SilenceLimit;
 import org.amaranthpick.core.gateway.Target;
 import org.amaranthpick.core.gateway.UpstreamVerdict;
-import org.amaranthpick.core.layers.EngineReport;
 import org.amaranthpick.core.register.UpstreamEntry;
 import org.amaranthpick.core.time.Cancellable;
 
@@ -24,11 +21,9 @@
  * Carries one request to its final answer: attempts one after another, resumption of a stream
  * within the answer, time limits, and the truth about whether it has run.
  */
-final class ForwardedExchange {
+final class ForwardedExchange implements SilenceWatch.Owner {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
-    private static final double NS_PER_MS = 1e6;
-
     /** Sends of one request at most, those that upstreams refused included. */
     private static final int MOST_SENDS = 4;
 
@@ -43,18 +38,21 @@
     private final CallerResponse mResponse;
     private final EventCursor mCursor;
     private final Set<String> mTried = new HashSet<>();
+    private Optional<WholeAnswer> mLastAnswer = Optional.empty();
     private CallerWatch mWatch;
     private Optional<ForwardAttempt> mAttempt = Optional.empty();
     private Cancellable mDeadlineTimer = () -> {};
-    private Cancellable mSilenceTimer = () -> {};
-    private final SilenceLimit mSilence;
-    private long mLastEventNs;
+    private final SilenceWatch mSilence;
     private int mSends;
     private int mRuns;
     private boolean mMayHaveRun;
     private boolean mStarted;
     private boolean mEnded;
 
+    /** An upstream's answer, kept while another upstream is tried. */
+    @SuppressWarnings("ArrayRecordComponent")
+    private record WholeAnswer(int status, HeaderMap headers, byte[] body) {}
+
     /** Told of what concerns other exchanges. */
     interface ExchangeOwner {
         /** The exchange has ended. */
@@ -78,7 +76,7 @@
         mResponse =
                 new CallerResponse(exchange, parts.dialect(), this::onCallerGone, this::onDrained);
         mCursor = new EventCursor(request.facts().lastEventId());
-        mSilence = new SilenceLimit(request.route());
+        mSilence = new SilenceWatch(request, parts, this);
     }
 
     void start() {
@@ -95,8 +93,6 @@
             return;
         }
         mSends++;
-        mSilence.onAttempt();
-        mLastEventNs = nowNs();
         Duration left = left();
         UpstreamTerms terms =
                 new UpstreamTerms(
@@ -115,7 +111,7 @@
                         mParts.dialect().toUpstream(mRequest.headers(), terms),
                         left.plus(ANSWER_MARGIN));
         mAttempt = Optional.of(attempt);
-        watchSilence(mSilence.limit());
+        mSilence.onAttempt(attempt);
         attempt.start();
     }
 
@@ -134,17 +130,7 @@
         if (events.length == 0) {
             return;
         }
-        long nowNs = nowNs();
-        if (mSilence.sawEvent() && mAttempt.isPresent()) {
-            mParts.chooser()
-                    .onEvent(
-                            mAttempt.get().target(),
-                            (nowNs - mLastEventNs) / NS_PER_MS,
-                            mRequest.service().model().map(EngineModel::tokensPerEvent).orElse(1),
-                            nowNs);
-        }
-        mSilence.onEvent(Duration.ofNanos(nowNs - mLastEventNs));
-        mLastEventNs = nowNs;
+        mSilence.onEvent();
         if (!mResponse.piece(events)) {
             mAttempt.ifPresent(ForwardAttempt::pause);
         }
@@ -170,6 +156,7 @@
             return;
         }
         mTried.add(attempt.target().upstream().id());
+        mLastAnswer = Optional.of(new WholeAnswer(status, headers, body));
         if (!success && serverFault && mayRepeat()) {
             attempt("status " + status);
             return;
@@ -177,8 +164,12 @@
         if (success) {
             praise(attempt.target());
         }
-        end("answered", "status " + status);
-        mResponse.whole(status, headers, body);
+        deliver(mLastAnswer.get(), "status " + status);
+    }
+
+    private void deliver(WholeAnswer answer, String detail) {
+        end("answered", detail);
+        mResponse.whole(answer.status(), answer.headers(), answer.body());
     }
 
     void onNotSent(ForwardAttempt attempt, String reason) {
@@ -248,63 +239,6 @@
 
     // Silence.
 
-    private void watchSilence(Duration delay) {
-        mSilenceTimer.cancel();
-        if (mRequest.route().repeatable()) {
-            mSilenceTimer = mParts.scheduler().schedule(delay, this::checkSilence);
-        }
-    }
-
-    private void checkSilence() {
-        if (mEnded || mAttempt.isEmpty()) {
-            return;
-        }
-        Duration left = mSilence.limit().minusNanos(nowNs() - mLastEventNs);
-        if (left.compareTo(Duration.ofMillis(1)) > 0) {
-            watchSilence(left);
-            return;
-        }
-        ForwardAttempt asked = mAttempt.get();
-        if (asked.target().chain().isEmpty()) {
-            onSilent(asked, List.of(asked.target().upstream()), "no answer");
-            return;
-        }
-        mParts.engines()
-                .report(asked.target().upstream())
-                .thenAccept(report -> mParts.scheduler().execute(() -> onReport(asked, report)));
-    }
-
-    private void onReport(ForwardAttempt asked, EngineReport report) {
-        if (mEnded || mAttempt.filter(a -> a == asked).isEmpty()) {
-            return;
-        }
-        if (report instanceof EngineReport.Absent absent) {
-            boolean silentLong =
-                    nowNs() - mLastEventNs > mRequest.route().targetLatency().toNanos() * 2;
-            if (absent.unreachable() || silentLong) {
-                onSilent(asked, List.of(asked.target().upstream()), absent.reason());
-            } else {
-                mSilence.onFalseAlarm();
-                watchSilence(mSilence.limit());
-            }
-            return;
-        }
-        List<String> stalled =
-                ((EngineReport.Present) report)
-                        .stalled()
-                        .getOrDefault(mRequest.facts().requestId(), List.of());
-        List<UpstreamEntry> culprits =
-                stalled.stream()
-                        .flatMap(address -> mParts.register().atAddress(address).stream())
-                        .toList();
-        if (culprits.isEmpty()) {
-            mSilence.onFalseAlarm();
-            watchSilence(mSilence.limit());
-        } else {
-            onSilent(asked, culprits, "stalled at " + stalled);
-        }
-    }
-
     /**
      * An engine was found not to answer. If this stream passes through it and is silent too, it
      * goes on elsewhere without asking again.
@@ -316,13 +250,14 @@
                         && mAttempt.flatMap(a -> a.target().chain())
                                 .filter(chain -> chain.contains(engineId))
                                 .isPresent();
-        if (affected && mSilence.isLong(Duration.ofNanos(nowNs() - mLastEventNs))) {
+        if (affected && mSilence.isLong()) {
             mTried.add(engineId);
             switchFrom(mAttempt.get(), reason);
         }
     }
 
-    private void onSilent(ForwardAttempt attempt, List<UpstreamEntry> culprits, String reason) {
+    @Override
+    public void onSilent(ForwardAttempt attempt, List<UpstreamEntry> culprits, String reason) {
         culprits.forEach(engine -> blame(engine, reason));
         culprits.forEach(engine -> mTried.add(engine.id()));
         switchFrom(attempt, reason);
@@ -334,7 +269,7 @@
         noteRun(attempt);
         if (!mayRepeat()) {
             mRuns = runsBefore;
-            watchSilence(mSilence.limit());
+            mSilence.waitLonger();
             return;
         }
         attempt.cancel();
@@ -373,6 +308,8 @@
         if (mStarted) {
             end("broken", reason);
             mResponse.abort();
+        } else if (mLastAnswer.isPresent()) {
+            deliver(mLastAnswer.get(), "status " + mLastAnswer.get().status() + ", " + reason);
         } else if (mMayHaveRun) {
             boolean late = left().compareTo(ANSWER_MARGIN.multipliedBy(2)) < 0;
             end(late ? "timeout" : "interrupted", reason);
@@ -386,7 +323,7 @@
     private void end(String outcome, String reason) {
         mEnded = true;
         mDeadlineTimer.cancel();
-        mSilenceTimer.cancel();
+        mSilence.stop();
         mWatch.stop();
         log(outcome, reason);
         mOwner.onEnded(this);
