Bound the log of the daemon and write it off the I/O thread; metrics on an address of their own

Cause: each line was written by the thread that serves requests, without a bound. Change: a queue and a budget of lines for each second, failures apart from notices, what is left out is counted; counters and latency histograms of requests, attempts, first events and pauses.

--- a/server/src/main/java/org/amaranthpick/server/gateway/ConfigurationFollower.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ConfigurationFollower.java
@@ -12,10 +12,12 @@
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final GatewayDecoder mDecoder;
+    private final GatewayMetrics mMetrics;
     private Optional<GatewayConfiguration> mCurrent = Optional.empty();
 
-    ConfigurationFollower(GatewayDecoder decoder) {
+    ConfigurationFollower(GatewayDecoder decoder, GatewayMetrics metrics) {
         mDecoder = decoder;
+        mMetrics = metrics;
     }
 
     Optional<GatewayConfiguration> current() {
@@ -33,6 +35,7 @@
         long present = mCurrent.map(GatewayConfiguration::version).orElse(-1L);
         if (next.isPresent() && next.get().version() > present) {
             mCurrent = next;
+            mMetrics.onConfiguration(next.get().version());
             sLogger.atInfo().log(
                     "config: in force version=%d before=%d routes=%d services=%d revision=%d",
                     next.get().version(),
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -101,6 +101,7 @@
                         mRequest.workspace(),
                         mRequest.priority(),
                         mCursor.lastId());
+        mParts.metrics().onAttempt(mRequest.route().kind(), mSends > 1);
         log("attempt", why + " " + describe(target.get()));
         ForwardAttempt attempt =
                 new ForwardAttempt(
@@ -326,6 +327,7 @@
         mSilence.stop();
         mWatch.stop();
         log(outcome, reason);
+        mParts.metrics().onEnd(mRequest.route().kind(), outcome, elapsed());
         mOwner.onEnded(this);
     }
 
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -60,6 +60,7 @@
     private static final int LEASE_RANKS = 8;
 
     private final GatewaySettings mSettings;
+    private final GatewayMetrics mMetrics = new GatewayMetrics();
     private final XnioWorker mWorker;
     private final IoThreadScheduler mScheduler;
     private final ConfigurationFollower mConfiguration;
@@ -74,6 +75,7 @@
     private final int mLeaseRank;
     private Undertow mCallers;
     private Undertow mReadiness;
+    private Undertow mMetricsListener;
     private boolean mDraining;
 
     /**
@@ -104,7 +106,7 @@
         mScheduler = scheduler;
         UpstreamRegister register = new UpstreamRegister();
         UpstreamHealth health = new UpstreamHealth();
-        mConfiguration = new ConfigurationFollower(decoder);
+        mConfiguration = new ConfigurationFollower(decoder, mMetrics);
         mRegisterFollower = new RegisterFollower(decoder, register, scheduler, () -> {});
         mConfigurationFeed = follower(store, decoder.configurationPrefix(), random, mConfiguration);
         mRegisterFeed = follower(store, decoder.registerPrefix(), random, mRegisterFollower);
@@ -142,6 +144,7 @@
                                 settings.retryRatio(),
                                 () -> settings.retryExtra() * RETRY_EXTRA_USED / mRoll.count(),
                                 settings.retryWindow()),
+                        mMetrics,
                         random);
         mHandler =
                 new GatewayHandler(parts, mConfiguration::current, new Refusals(dialect, random));
@@ -172,6 +175,7 @@
         mRoll.start();
         mReadiness = listener(mSettings.readiness(), this::tellReadiness);
         mCallers = listener(mSettings.callers(), mHandler);
+        mMetricsListener = listener(mSettings.metrics(), mMetrics::write);
         mScheduler.schedule(Duration.ZERO, this::control);
         sLogger.atInfo().log(
                 "start: host=%s domain=%s callers=%s",
@@ -254,6 +258,7 @@
         mRegisterFeed.close();
         mCallers.stop();
         mReadiness.stop();
+        mMetricsListener.stop();
         mConnector.close();
     }
 }
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -0,0 +1,97 @@
+package org.amaranthpick.server.gateway;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Locale;
+import org.amaranthpick.core.gateway.RequestKind;
+
+/** Counters and latency histograms of a gateway. */
+final class GatewayMetrics {
+    private static final double NS_PER_SECOND = 1e9;
+    private static final double[] SECONDS = {
+        0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.35, 0.5, 0.75, 1, 2, 4, 8, 20
+    };
+
+    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+    private final Counter mRequests =
+            Counter.builder()
+                    .name("amaranthpick_gateway_requests_total")
+                    .help("Requests by kind of route and outcome")
+                    .labelNames("kind", "outcome")
+                    .register(mRegistry);
+    private final Counter mAttempts =
+            Counter.builder()
+                    .name("amaranthpick_gateway_attempts_total")
+                    .help("Sends to upstreams by kind of route, first ones and repeats")
+                    .labelNames("kind", "repeat")
+                    .register(mRegistry);
+    private final Histogram mAnswers =
+            histogram("answer_seconds", "Time to the end of the answer, by kind and outcome")
+                    .labelNames("kind", "outcome")
+                    .register(mRegistry);
+    private final Histogram mFirstEvents =
+            histogram("first_event_seconds", "Time to the first event of a stream")
+                    .register(mRegistry);
+    private final Histogram mPauses =
+            histogram("pause_seconds", "Pauses between the events of a stream").register(mRegistry);
+    private final Gauge mConfiguration =
+            Gauge.builder()
+                    .name("amaranthpick_gateway_configuration_version")
+                    .help("Version of the configuration in force")
+                    .register(mRegistry);
+
+    private static Histogram.Builder histogram(String name, String help) {
+        return Histogram.builder()
+                .name("amaranthpick_gateway_" + name)
+                .help(help)
+                .classicOnly()
+                .classicUpperBounds(SECONDS);
+    }
+
+    void onAttempt(RequestKind kind, boolean repeat) {
+        mAttempts.labelValues(label(kind), Boolean.toString(repeat)).inc();
+    }
+
+    void onFirstEvent(Duration elapsed) {
+        mFirstEvents.observe(seconds(elapsed));
+    }
+
+    void onPause(Duration pause) {
+        mPauses.observe(seconds(pause));
+    }
+
+    void onEnd(RequestKind kind, String outcome, Duration elapsed) {
+        mRequests.labelValues(label(kind), outcome).inc();
+        mAnswers.labelValues(label(kind), outcome).observe(seconds(elapsed));
+    }
+
+    void onConfiguration(long version) {
+        mConfiguration.set((double) version);
+    }
+
+    /** Answers with all metrics as text. */
+    void write(HttpServerExchange exchange) throws IOException {
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
+        writer.write(text, mRegistry.scrape());
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, writer.getContentType());
+        exchange.getResponseSender().send(ByteBuffer.wrap(text.toByteArray()));
+    }
+
+    private static String label(RequestKind kind) {
+        return kind.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static double seconds(Duration duration) {
+        return duration.toNanos() / NS_PER_SECOND;
+    }
+}
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayParts.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayParts.java
@@ -19,6 +19,7 @@
  * @param chooser chooses targets
  * @param engines asks engines for their state
  * @param retries allowances by service
+ * @param metrics counters and histograms
  * @param random source of jitter
  */
 record GatewayParts(
@@ -30,4 +31,5 @@
         TargetChooser chooser,
         EngineControl engines,
         RetryAllowances retries,
+        GatewayMetrics metrics,
         RandomGenerator random) {}
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewaySettings.java
@@ -1,6 +1,5 @@
 package org.amaranthpick.server.gateway;
 
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
 
@@ -11,6 +10,7 @@
  * @param domain failure domain it stands in
  * @param callers address that callers are taken on
  * @param readiness address that readiness is told on
+ * @param metrics address that metrics are told on
  * @param retryRatio repeats for each request, over all daemons
  * @param retryExtra repeats beside those in a window, over all daemons
  * @param retryWindow window in which repeats are counted
@@ -21,11 +21,8 @@
         String domain,
         URI callers,
         URI readiness,
+        URI metrics,
         double retryRatio,
         double retryExtra,
         Duration retryWindow,
-        Duration shutdownGrace) {
-    static InetSocketAddress socketAddress(URI address) {
-        return new InetSocketAddress(address.getHost(), address.getPort());
-    }
-}
+        Duration shutdownGrace) {}
--- a/server/src/main/java/org/amaranthpick/server/gateway/SilenceWatch.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/SilenceWatch.java
@@ -60,6 +60,11 @@
             int tokens = mRequest.service().model().map(m -> m.tokensPerEvent()).orElse(1);
             mParts.chooser().onEvent(mAttempt.get().target(), pauseNs / NS_PER_MS, tokens, nowNs);
         }
+        if (mLimit.sawEvent()) {
+            mParts.metrics().onPause(Duration.ofNanos(pauseNs));
+        } else {
+            mParts.metrics().onFirstEvent(Duration.ofNanos(nowNs - mRequest.readNs()));
+        }
         mLimit.onEvent(Duration.ofNanos(pauseNs));
         mLastEventNs = nowNs;
     }
--- /dev/null
+++ b/server/src/test/java/org/amaranthpick/server/log/BoundedLogHandlerTest.java
@@ -0,0 +1,56 @@
+package org.amaranthpick.server.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.api.Test;
+
+class BoundedLogHandlerTest {
+    private static final long SECOND_NS = 1_000_000_000L;
+
+    private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
+    private long mNowNs = SECOND_NS;
+    private final BoundedLogHandler mHandler = new BoundedLogHandler(mOut, () -> mNowNs);
+
+    private String[] lines() {
+        mHandler.flush();
+        return mOut.toString(StandardCharsets.UTF_8).split("\n", -1);
+    }
+
+    @Test
+    void oneLineForEachRecord() {
+        LogRecord record = new LogRecord(Level.WARNING, "store: lost");
+        record.setThrown(new IllegalStateException("down"));
+        mHandler.publish(record);
+        assertTrue(lines()[0].startsWith("W store: lost cause=\"java.lang.IllegalStateException"));
+    }
+
+    @Test
+    void noticesOverTheBudgetAreLeftOutAndCounted() {
+        for (int i = 0; i < 1000; i++) {
+            mHandler.publish(new LogRecord(Level.INFO, "request: " + i));
+        }
+        mHandler.publish(new LogRecord(Level.WARNING, "store: lost"));
+        mNowNs += SECOND_NS;
+        mHandler.publish(new LogRecord(Level.INFO, "next"));
+        String[] lines = lines();
+        assertEquals("W store: lost", lines[300]);
+        assertEquals("W log: left_out=700 lines over the budget of a second", lines[301]);
+        assertEquals("I next", lines[302]);
+    }
+
+    @Test
+    void aReaderThatStopsCostsLinesOnly() {
+        for (int second = 0; second < 20; second++) {
+            mNowNs += SECOND_NS;
+            for (int i = 0; i < 300; i++) {
+                mHandler.publish(new LogRecord(Level.INFO, "request: " + i));
+            }
+        }
+        assertTrue(lines().length <= 2049);
+    }
+}
