--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -175,7 +175,12 @@
 
     void onNotSent(ForwardAttempt attempt, String reason) {
         blame(attempt.target().upstream(), reason);
-        again(attempt, reason);
+        mTried.add(attempt.target().upstream().id());
+        if (mSends < MOST_SENDS) {
+            attempt(reason);
+        } else {
+            fail(reason);
+        }
     }
 
     void onNotRun(ForwardAttempt attempt, int status, UpstreamVerdict.NotRun notRun) {
@@ -216,7 +221,7 @@
         }
     }
 
-    /** Sends a request again that has not run at its last attempt. */
+    /** Sends a request again that arrived at an upstream and was not run there. */
     private void again(ForwardAttempt attempt, String reason) {
         mTried.add(attempt.target().upstream().id());
         if (mSends < MOST_SENDS && allowance().takeRepeat(nowNs())) {
