Let calls to the store and the search for chains fit fleets of a hundred daemons

Change: changes gather and watches wait in proportion to the daemons, within the bounds; a few daemons look after the lease; up to 16 chains; chains found are kept for 0.2 s but for broken ones, so that the search does not run for each refusal.

--- a/core/src/main/java/org/amaranthpick/core/gateway/TargetChooser.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/TargetChooser.java
@@ -24,10 +24,13 @@
     /** Time for which chains found are used again when nothing is known to have changed. */
     private static final Duration CHAINS_KEPT = Duration.ofMillis(500);
 
+    /** Time for which they are used again, but for the broken ones, whatever has changed. */
+    private static final Duration CHAINS_KEPT_CHANGED = Duration.ofMillis(200);
+
     /** Requests in progress that an upstream of another domain counts as having more. */
     private static final double AWAY_HANDICAP = 0.5;
 
-    private static final int MOST_CHAINS = 6;
+    private static final int MOST_CHAINS = 16;
 
     private final UpstreamRegister mRegister;
     private final UpstreamHealth mHealth;
@@ -158,12 +161,7 @@
 
     private List<EngineChain> chains(GatewayService service, EngineModel model, long nowNs) {
         Found found = mFound.get(service.name());
-        boolean fresh =
-                found != null
-                        && found.model().equals(model)
-                        && found.register() == mRegister.version()
-                        && found.health() == mHealth.version()
-                        && nowNs - found.atNs() < CHAINS_KEPT.toNanos();
+        boolean fresh = found != null && found.model().equals(model) && isFresh(found, nowNs);
         if (!fresh) {
             List<EngineChain> chains =
                     new ChainFinder(model, mDomain)
@@ -174,7 +172,41 @@
             found = new Found(model, chains, mRegister.version(), mHealth.version(), nowNs);
             mFound.put(service.name(), found);
         }
-        return found.chains();
+        List<EngineChain> usable =
+                found.chains().stream().filter(chain -> whole(chain, nowNs)).toList();
+        return usable;
+    }
+
+    private boolean isFresh(Found found, long nowNs) {
+        boolean unchanged =
+                found.register() == mRegister.version() && found.health() == mHealth.version();
+        boolean someLeft = found.chains().stream().anyMatch(chain -> whole(chain, nowNs));
+        Duration kept = unchanged ? CHAINS_KEPT : CHAINS_KEPT_CHANGED;
+        return (unchanged || someLeft) && nowNs - found.atNs() < kept.toNanos();
+    }
+
+    /** Whether every part still stands as it did when the chain was found. */
+    private boolean whole(EngineChain chain, long nowNs) {
+        return chain.parts().stream()
+                .allMatch(
+                        part ->
+                                mRegister
+                                                .find(part.engine().id())
+                                                .filter(now -> !now.leaving())
+                                                .filter(
+                                                        now ->
+                                                                now.bornMs()
+                                                                        == part.engine().bornMs())
+                                                .filter(
+                                                        now ->
+                                                                now.address()
+                                                                        .equals(
+                                                                                part.engine()
+                                                                                        .address()))
+                                                .flatMap(UpstreamEntry::layers)
+                                                .filter(held -> held.contains(part.layers()))
+                                                .isPresent()
+                                        && !mHealth.excluded(part.engine().id(), nowNs));
     }
 
     private Predicate<UpstreamEntry> usable(long nowNs) {
--- a/core/src/main/java/org/amaranthpick/core/register/DaemonRoll.java
+++ b/core/src/main/java/org/amaranthpick/core/register/DaemonRoll.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.Executor;
+import java.util.function.IntConsumer;
 import java.util.random.RandomGenerator;
 import org.amaranthpick.core.store.ListResult;
 import org.amaranthpick.core.store.ObjectStore;
@@ -25,7 +26,7 @@
     private static final int ASSUMED = 150;
 
     private static final Duration FIRST_READ = Duration.ofMillis(2500);
-    private static final Duration READ_PERIOD = Duration.ofSeconds(12);
+    private static final Duration READ_PERIOD = Duration.ofSeconds(20);
     private static final Duration RETRY = Duration.ofSeconds(2);
 
     private final ObjectStore mStore;
@@ -35,6 +36,7 @@
     private final Executor mExecutor;
     private final RandomGenerator mRandom;
     private int mCount = ASSUMED;
+    private IntConsumer mOnCount = count -> {};
     private boolean mSignedIn;
 
     /**
@@ -62,8 +64,13 @@
         mRandom = random;
     }
 
-    /** Signs in and starts to count. */
-    public void start() {
+    /**
+     * Signs in and starts to count.
+     *
+     * @param onCount told of each count
+     */
+    public void start(IntConsumer onCount) {
+        mOnCount = onCount;
         signIn();
     }
 
@@ -105,6 +112,7 @@
                 sLogger.atInfo().log("roll: daemons=%d before=%d", count, mCount);
             }
             mCount = count;
+            mOnCount.accept(count);
         }
         mScheduler.schedule(jittered(READ_PERIOD), this::next);
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.amaranthpick.core.register.UpstreamRegister;
 import org.amaranthpick.core.store.ObjectStore;
 import org.amaranthpick.core.store.StoreFollower;
+import org.amaranthpick.core.store.WatchPacing;
 import org.amaranthpick.core.store.WriterTokens;
 import org.amaranthpick.server.http.ConnectorSettings;
 import org.amaranthpick.server.http.HttpConnector;
@@ -72,7 +73,9 @@
     private final LayerKeeper mLayers;
     private final HttpConnector mConnector;
     private final GatewayHandler mHandler;
-    private final int mLeaseRank;
+    private final WatchPacing mPacing;
+    private final RandomGenerator mRandom;
+    private int mLeaseRank;
     private Undertow mCallers;
     private Undertow mReadiness;
     private Undertow mMetricsListener;
@@ -85,6 +88,7 @@
      * @param worker threads, with one I/O thread
      * @param scheduler timers on that thread
      * @param store object API of the platform
+     * @param pacing told how many daemons watch the store
      * @param decoder decodes what stands there
      * @param dialect headers of callers and upstreams
      * @param engines gives orders to engines
@@ -96,6 +100,7 @@
             XnioWorker worker,
             IoThreadScheduler scheduler,
             ObjectStore store,
+            WatchPacing pacing,
             GatewayDecoder decoder,
             GatewayDialect dialect,
             EngineControl engines,
@@ -112,6 +117,8 @@
         mRegisterFeed = follower(store, decoder.registerPrefix(), random, mRegisterFollower);
         WriterTokens tokens = new WriterTokens(settings.host(), random.nextLong());
         mRoll = new DaemonRoll(store, tokens, settings.host(), scheduler, scheduler, random);
+        mPacing = pacing;
+        mRandom = random;
         mLeaseRank = random.nextInt(LEASE_RANKS);
         mLease =
                 new LeaseKeeper(
@@ -172,7 +179,7 @@
     public void start() {
         mConfigurationFeed.start();
         mRegisterFeed.start();
-        mRoll.start();
+        mRoll.start(this::onDaemons);
         mReadiness = listener(mSettings.readiness(), this::tellReadiness);
         mCallers = listener(mSettings.callers(), mHandler);
         mMetricsListener = listener(mSettings.metrics(), mMetrics::write);
@@ -217,12 +224,21 @@
         }
     }
 
+    /** In a large fleet few daemons look after the lease; who they are changes with each count. */
+    private void onDaemons(int daemons) {
+        mPacing.onDaemons(daemons);
+        if (mLease.held().isEmpty()) {
+            mLeaseRank = mRandom.nextInt(Math.max(LEASE_RANKS, daemons / 2));
+        }
+    }
+
     private void control() {
         if (mDraining) {
             return;
         }
         boolean informed = mConfiguration.current().isPresent() && mRegisterFollower.listed();
-        mLease.step(informed ? Optional.of(mLeaseRank) : Optional.empty());
+        boolean candidate = informed && mLeaseRank < LEASE_RANKS;
+        mLease.step(candidate ? Optional.of(mLeaseRank) : Optional.empty());
         mLayers.step();
         mScheduler.schedule(CONTROL_PERIOD, this::control);
     }
