Log what a request whose response is lost was doing, and the shared parts of its prompt

A line "lost" names the upstream, whether events had come, and the parts of the prompt that other requests may share; amaranthpick_gateway_lost_attempts_total counts such ends by kind of route and by whether the response had begun.

No decision changes.

--- a/server/src/main/java/org/amaranthpick/server/gateway/CallerRequestMetadata.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/CallerRequestMetadata.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.server.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -12,9 +13,17 @@
  * @param apiKey key that identifies the caller's workspace, empty if none was sent
  * @param lastEventId id of the last event that the caller received before it resumed the stream,
  *     empty if it starts a new stream
+ * @param sharedPromptParts ids of the parts of the prompt that other requests may have in common
+ *     with this one, in order
  */
 public record CallerRequestMetadata(
         String requestId,
         Optional<Duration> deadline,
         Optional<String> apiKey,
-        OptionalLong lastEventId) {}
+        OptionalLong lastEventId,
+        List<String> sharedPromptParts) {
+    /** Copies the list. */
+    public CallerRequestMetadata {
+        sharedPromptParts = List.copyOf(sharedPromptParts);
+    }
+}
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -225,6 +225,7 @@
     }
 
     void onResponseLost(ForwardAttempt attempt, String reason) {
+        logLoss(attempt, reason);
         recordRun(attempt);
         if (!mStreamStarted || attempt.target().chain().isEmpty()) {
             recordFailure(attempt.target().upstream(), reason);
@@ -406,6 +407,22 @@
                 upstream.id(), upstream.address(), reason, mRequest.metadata().requestId());
     }
 
+    /** Logs what the request was doing at the upstream, and what others may share with it. */
+    private void logLoss(ForwardAttempt attempt, String reason) {
+        mContext.metrics().onLoss(mRequest.route().kind(), mStallDetector.hasReceivedEvent());
+        sLogger.atInfo().log(
+                "lost: upstream=%s address=%s request=%s route=%s events=%b elapsed_ms=%d"
+                        + " parts=%s reason=\"%s\"",
+                attempt.target().upstream().id(),
+                attempt.target().upstream().address(),
+                mRequest.metadata().requestId(),
+                mRequest.route().name(),
+                mStallDetector.hasReceivedEvent(),
+                elapsed().toMillis(),
+                mRequest.metadata().sharedPromptParts(),
+                reason);
+    }
+
     private void recordSuccess(Target target) {
         target.upstreamIds().forEach(id -> mContext.health().onSuccess(id, nowNs()));
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -34,6 +34,12 @@
                     .help("Sends to upstreams by kind of route, first ones and repeats")
                     .labelNames("kind", "repeat")
                     .register(mRegistry);
+    private final Counter mLossCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_lost_attempts_total")
+                    .help("Sends whose response was lost, by kind of route and whether it had begun")
+                    .labelNames("kind", "begun")
+                    .register(mRegistry);
     private final Histogram mResponseTime =
             histogram("answer_seconds", "Time to the end of the answer, by kind and outcome")
                     .labelNames("kind", "outcome")
@@ -61,6 +67,10 @@
         mAttemptCount.labelValues(label(kind), Boolean.toString(retry)).inc();
     }
 
+    void onLoss(RequestKind kind, boolean begun) {
+        mLossCount.labelValues(label(kind), Boolean.toString(begun)).inc();
+    }
+
     void onFirstEvent(Duration elapsed) {
         mFirstEventTime.observe(seconds(elapsed));
     }
