Quarantine prompts that crash engines on all daemons

Cause: what is learned from a lost engine is kept about the engine only. A daemon excludes it and sends the request to the next one; nothing remembers what it was running, neither for that request nor for others, here or elsewhere. The class of fault: a failure is blamed on the place where it shows, and the work that carries it there is repeated.

Now each loss of a response that had not been coming in for half a second asks whether the engine is still there. If not, the shared parts of the prompt are suspected; a part with three such crashes and no answer meanwhile is not sent any more, by no daemon, and requests with it get 503 with the time left. Daemons exchange suspicions, answers that clear them, and the parts in quarantine; one that starts asks for these.

Why it works: a part that crashes engines never gets an answer, parts of sound requests get one every few moments, so three crashes tell them apart; three leave room for two halves that are cut off from each other. CrashingPromptFleetTest plays 12, 100 and 440 daemons, whole, with one daemon and with a third cut off: at most three requests reach engines later than 3 s after the fifth crash, under 1 % of sound requests are refused.

HealthNoteLink becomes PeerMessageLink for both kinds of messages; its test checks the same cases.

--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/quarantine/PartReport.java
@@ -0,0 +1,23 @@
+package org.amaranthpick.core.quarantine;
+
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * What a daemon knows of a part of prompts, on its way to other daemons. Times are ages, since the
+ * clocks of hosts differ.
+ *
+ * @param part id of the part
+ * @param crashAgesMs time since each upstream crashed under a request with the part, in ms, by id
+ *     of the upstream
+ * @param soundAgeMs time since an upstream last answered a request with the part, in ms; negative
+ *     if unknown
+ */
+public record PartReport(String part, Map<String, Long> crashAgesMs, long soundAgeMs) {
+    /** Copies the map and refuses incomplete reports, as they may come from elsewhere. */
+    public PartReport {
+        Objects.requireNonNull(part, "a report must name the part");
+        Objects.requireNonNull(crashAgesMs, "a report must list the crashes");
+        crashAgesMs = Map.copyOf(crashAgesMs);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/amaranthpick/core/quarantine/CrashingPromptFleetTest.java
@@ -0,0 +1,180 @@
+package org.amaranthpick.core.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.amaranthpick.core.time.VirtualScheduler;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Replays requests that crash engines in fleets of daemons, also while some are cut off. */
+class CrashingPromptFleetTest {
+    private static final Duration PEER_DELAY = Duration.ofMillis(1);
+    private static final Duration CRASH_DELAY = Duration.ofMillis(100);
+    private static final Duration QUERY_DELAY = Duration.ofMillis(2);
+    private static final Duration STABLE_WINDOW = Duration.ofSeconds(3);
+    private static final Duration DAY = Duration.ofSeconds(30);
+
+    /** Sends of one request, first and repeated. */
+    private static final int SENDS = 3;
+
+    /** Sound requests that each crash cuts off. */
+    private static final int CUT_OFF_BY_CRASH = 12;
+
+    private static final double CRASHING_PER_S = 6;
+    private static final double SOUND_PER_S = 45;
+    private static final int SOUND_PARTS = 60;
+
+    private final VirtualScheduler mScheduler = new VirtualScheduler(Instant.EPOCH);
+    private final SplittableRandom mRandom = new SplittableRandom(23);
+    private final List<PromptQuarantine> mQuarantines = new ArrayList<>();
+    private final List<QuarantineGossip> mGossip = new ArrayList<>();
+    private final List<Long> mCrashesNs = new ArrayList<>();
+    private final List<Long> mReachedNs = new ArrayList<>();
+    private int mDaemons;
+    private int mCutOff;
+    private int mSoundRefused;
+
+    private void createDaemons(int daemons, int cutOff) {
+        mDaemons = daemons;
+        mCutOff = cutOff;
+        for (int i = 0; i < daemons; i++) {
+            mQuarantines.add(new PromptQuarantine());
+            mGossip.add(null);
+            startGossip(i);
+        }
+    }
+
+    private void startGossip(int daemon) {
+        List<String> peers =
+                IntStream.range(0, mDaemons)
+                        .filter(peer -> peer != daemon)
+                        .mapToObj(Integer::toString)
+                        .toList();
+        mGossip.set(
+                daemon,
+                new QuarantineGossip(
+                        Integer.toString(daemon),
+                        mQuarantines.get(daemon),
+                        () -> peers,
+                        (peer, message) -> deliver(daemon, Integer.parseInt(peer), message),
+                        mScheduler,
+                        mRandom.split()));
+    }
+
+    private void deliver(int from, int to, QuarantineMessage message) {
+        if ((from < mCutOff) == (to < mCutOff)) {
+            mScheduler.schedule(PEER_DELAY, () -> mGossip.get(to).onMessage(message));
+        }
+    }
+
+    /** Sends a crashing request to an engine unless its daemon has quarantined it. */
+    private void sendCrashing(int daemon, int sends) {
+        long nowNs = mScheduler.monotonicNs();
+        if (mQuarantines.get(daemon).timeLeft(List.of("first", "bad"), nowNs).isPresent()) {
+            return;
+        }
+        mReachedNs.add(nowNs);
+        mScheduler.schedule(CRASH_DELAY, () -> crash(daemon, sends));
+    }
+
+    private void crash(int daemon, int sends) {
+        mCrashesNs.add(mScheduler.monotonicNs());
+        String engine = "e" + mCrashesNs.size();
+        lose(daemon, engine, "bad");
+        for (int i = 0; i < CUT_OFF_BY_CRASH; i++) {
+            int other = mRandom.nextInt(mDaemons);
+            if ((other < mCutOff) == (daemon < mCutOff)) {
+                lose(other, engine, "sound" + mRandom.nextInt(SOUND_PARTS));
+            }
+        }
+        if (sends < SENDS) {
+            mScheduler.schedule(QUERY_DELAY, () -> sendCrashing(daemon, sends + 1));
+        }
+    }
+
+    private void lose(int daemon, String engine, String part) {
+        mScheduler.schedule(
+                QUERY_DELAY,
+                () ->
+                        mQuarantines
+                                .get(daemon)
+                                .onCrash(engine, List.of("first", part), mScheduler.monotonicNs()));
+    }
+
+    private void sendSound(int daemon) {
+        List<String> parts = List.of("first", "sound" + mRandom.nextInt(SOUND_PARTS));
+        PromptQuarantine quarantine = mQuarantines.get(daemon);
+        if (quarantine.timeLeft(parts, mScheduler.monotonicNs()).isPresent()) {
+            mSoundRefused++;
+        } else {
+            quarantine.onAnswered(parts, mScheduler.monotonicNs());
+        }
+    }
+
+    /** Plays both kinds of requests, each at a random daemon. */
+    private int play(Duration length) {
+        Duration step = Duration.ofMillis(10);
+        int sound = 0;
+        for (long i = 0; i < length.dividedBy(step); i++) {
+            mScheduler.advance(step);
+            double seconds = step.toMillis() / 1000.0;
+            if (mRandom.nextDouble() < CRASHING_PER_S * seconds) {
+                sendCrashing(mRandom.nextInt(mDaemons), 1);
+            }
+            if (mRandom.nextDouble() < SOUND_PER_S * seconds) {
+                sound++;
+                sendSound(mRandom.nextInt(mDaemons));
+            }
+        }
+        return sound;
+    }
+
+    private boolean isQuarantined(PromptQuarantine quarantine, String part) {
+        return quarantine.timeLeft(List.of(part), mScheduler.monotonicNs()).isPresent();
+    }
+
+    private long reachedLate() {
+        Optional<Long> fifthNs = mCrashesNs.stream().skip(4).findFirst();
+        return mReachedNs.stream()
+                .filter(atNs -> fifthNs.isPresent())
+                .filter(atNs -> atNs > fifthNs.get() + STABLE_WINDOW.toNanos())
+                .count();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"12,0", "12,1", "12,4", "100,0", "100,1", "100,33", "440,0", "440,1", "440,147"})
+    void fewCrashingRequestsReachEnginesOnceFiveHaveCrashed(int daemons, int cutOff) {
+        createDaemons(daemons, cutOff);
+        int sound = play(DAY);
+        assertTrue(mCrashesNs.size() >= PromptQuarantine.CRASHES_OF_QUARANTINE);
+        assertTrue(reachedLate() <= 3, reachedLate() + " requests reached engines");
+        assertTrue(mSoundRefused * 100 < sound, mSoundRefused + " of " + sound + " sound refused");
+        long falsely = mQuarantines.stream().filter(q -> isQuarantined(q, "first")).count();
+        assertEquals(0, falsely, "daemons refuse what sound requests have in common");
+    }
+
+    /** A daemon that was killed has forgotten what it knew, and asks the others. */
+    @ParameterizedTest
+    @CsvSource({"12", "100", "440"})
+    void aDaemonThatStartsAgainSendsNoCrashingRequests(int daemons) {
+        createDaemons(daemons, 0);
+        play(Duration.ofSeconds(10));
+        int reached = mReachedNs.size();
+        for (int i = 0; i < daemons / 2; i++) {
+            mQuarantines.set(i, new PromptQuarantine());
+            startGossip(i);
+            mGossip.get(i).requestAll();
+        }
+        mScheduler.advance(Duration.ofMillis(100));
+        play(Duration.ofSeconds(10));
+        assertEquals(reached, mReachedNs.size());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/amaranthpick/core/quarantine/PromptQuarantineTest.java
@@ -0,0 +1,127 @@
+package org.amaranthpick.core.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class PromptQuarantineTest {
+    private static final long SECOND_NS = Duration.ofSeconds(1).toNanos();
+
+    private final PromptQuarantine mQuarantine = new PromptQuarantine();
+
+    private void crash(int engine, long atS, String... parts) {
+        mQuarantine.onCrash("e" + engine, List.of(parts), atS * SECOND_NS);
+    }
+
+    private boolean isQuarantined(String part, long atS) {
+        return mQuarantine.timeLeft(List.of("x", part), atS * SECOND_NS).isPresent();
+    }
+
+    @Test
+    void aPartUnderWhichThreeEnginesCrashedIsQuarantined() {
+        crash(1, 10, "bad");
+        crash(1, 10, "bad");
+        crash(2, 11, "bad");
+        assertFalse(isQuarantined("bad", 11));
+        crash(3, 12, "bad");
+        assertTrue(isQuarantined("bad", 12));
+        assertFalse(isQuarantined("good", 12));
+    }
+
+    @Test
+    void anAnswerClearsItsParts() {
+        crash(1, 10, "good");
+        crash(2, 11, "good");
+        mQuarantine.onAnswered(List.of("good"), 12 * SECOND_NS);
+        crash(3, 13, "good");
+        crash(4, 20, "good");
+        crash(5, 21, "good");
+        assertFalse(isQuarantined("good", 21));
+    }
+
+    @Test
+    void anAnswerReleasesAPartThatWasQuarantinedByChance() {
+        crash(1, 10, "good");
+        crash(2, 11, "good");
+        crash(3, 12, "good");
+        mQuarantine.onAnswered(List.of("good"), 13 * SECOND_NS);
+        assertFalse(isQuarantined("good", 13));
+    }
+
+    @Test
+    void thePartThatTellsTheRequestsApartIsSuspectedBeforeTheirCommonOne() {
+        crash(1, 10, "common", "bad");
+        crash(2, 11, "common", "bad");
+        crash(3, 12, "common", "bad");
+        crash(4, 13, "common", "bad");
+        assertTrue(isQuarantined("bad", 13));
+        assertFalse(isQuarantined("common", 13));
+    }
+
+    @Test
+    void aCommonPartIsQuarantinedIfItIsAllThatTheRequestsShare() {
+        for (int i = 0; i < 3; i++) {
+            crash(i, 10 + i, "common", "own" + i);
+        }
+        assertTrue(isQuarantined("common", 13));
+    }
+
+    @Test
+    void aCrashUnderAQuarantinedPartIsNotHeldAgainstOthers() {
+        for (int i = 0; i < 3; i++) {
+            crash(i, 10 + i, "bad");
+        }
+        for (int i = 3; i < 8; i++) {
+            crash(i, 10 + i, "good");
+            crash(i, 10 + i, "bad");
+        }
+        assertFalse(isQuarantined("good", 20));
+    }
+
+    @Test
+    void quarantineEndsAfterALongTimeWithoutACrash() {
+        for (int i = 0; i < 3; i++) {
+            crash(i, 10, "bad");
+        }
+        long lifetimeS = PromptQuarantine.CRASH_LIFETIME.toSeconds();
+        assertTrue(isQuarantined("bad", 9 + lifetimeS));
+        assertFalse(isQuarantined("bad", 11 + lifetimeS));
+    }
+
+    @Test
+    void crashesSeenByOthersCount() {
+        crash(1, 10, "bad");
+        PartReport report = new PartReport("bad", Map.of("e2", 500L, "e3", 0L), -1);
+        assertEquals(PromptQuarantine.MergeResult.NEWS, mQuarantine.merge(report, 11 * SECOND_NS));
+        assertTrue(isQuarantined("bad", 11));
+        assertEquals(PromptQuarantine.MergeResult.KNOWN, mQuarantine.merge(report, 11 * SECOND_NS));
+    }
+
+    @Test
+    void anAnswerSeenHereContradictsOthers() {
+        mQuarantine.onAnswered(List.of("good"), 10 * SECOND_NS);
+        PartReport report = new PartReport("good", Map.of("e1", 0L, "e2", 0L, "e3", 0L), -1);
+        assertEquals(
+                PromptQuarantine.MergeResult.CONTRADICTED,
+                mQuarantine.merge(report, 11 * SECOND_NS));
+        assertFalse(isQuarantined("good", 11));
+    }
+
+    /** Callers choose the ids of parts, so memory must not grow with them. */
+    @Test
+    void thePartsKeptAreBoundedAndQuarantinedOnesStay() {
+        for (int i = 0; i < 3; i++) {
+            crash(i, 10, "bad");
+        }
+        for (int i = 0; i < 5000; i++) {
+            crash(100 + i, 10, "part" + i);
+        }
+        assertTrue(isQuarantined("bad", 10));
+        assertFalse(isQuarantined("part4999", 10));
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/gateway/CrashDetector.java
@@ -0,0 +1,63 @@
+package org.amaranthpick.server.gateway;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.amaranthpick.core.layers.EngineControl;
+import org.amaranthpick.core.layers.EngineReport;
+import org.amaranthpick.core.quarantine.PromptQuarantine;
+import org.amaranthpick.core.register.UpstreamEntry;
+import org.amaranthpick.core.time.Scheduler;
+
+/**
+ * Tells the crash of an engine from the loss of one response. A lost response alone may be due to
+ * its connection, so the engine is queried; one that does not report any more has crashed. Confined
+ * to one thread.
+ */
+final class CrashDetector {
+    private final EngineControl mEngines;
+    private final PromptQuarantine mQuarantine;
+    private final Scheduler mScheduler;
+    private final Map<String, Set<List<String>>> mQueried = new HashMap<>();
+
+    CrashDetector(EngineControl engines, PromptQuarantine quarantine, Scheduler scheduler) {
+        mEngines = engines;
+        mQuarantine = quarantine;
+        mScheduler = scheduler;
+    }
+
+    /**
+     * Handles the loss of a response that had not been coming in for long.
+     *
+     * @param engine engine that the request was sent to
+     * @param sharedParts shared parts of the request's prompt
+     */
+    void onResponseLost(UpstreamEntry engine, List<String> sharedParts) {
+        if (sharedParts.isEmpty()) {
+            return;
+        }
+        Set<List<String>> lost = mQueried.get(engine.id());
+        if (lost != null) {
+            lost.add(sharedParts);
+            return;
+        }
+        lost = new LinkedHashSet<>();
+        lost.add(sharedParts);
+        mQueried.put(engine.id(), lost);
+        mEngines.fetchReport(engine)
+                .thenAccept(
+                        report ->
+                                mScheduler.schedule(Duration.ZERO, () -> onReport(engine, report)));
+    }
+
+    private void onReport(UpstreamEntry engine, EngineReport report) {
+        Set<List<String>> lost = mQueried.remove(engine.id());
+        if (report instanceof EngineReport.Absent) {
+            long nowNs = mScheduler.monotonicNs();
+            lost.forEach(parts -> mQuarantine.onCrash(engine.id(), parts, nowNs));
+        }
+    }
+}
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.amaranthpick.core.gateway.EventStreamSplitter;
 import org.amaranthpick.core.gateway.RetryBudget;
@@ -28,9 +29,14 @@
     /** Most sends of a request, including those that upstreams refused. */
     private static final int MAX_SENDS = 4;
 
+    /** Time for which an engine must have been sending events to show that it does not crash. */
+    private static final Duration MIN_ANSWERING_TIME = Duration.ofMillis(500);
+
     /** Time reserved before the deadline for delivering the final response to the caller. */
     private static final Duration RESPONSE_MARGIN = Duration.ofMillis(20);
 
+    private static final String QUARANTINED = "a part of the prompt crashes engines";
+
     private final HttpServerExchange mExchange;
     private final ForwardedRequest mRequest;
     private final GatewayContext mContext;
@@ -48,6 +54,8 @@
     private int mRunCount;
     private boolean mMayHaveRun;
     private boolean mStreamStarted;
+    private OptionalLong mFirstEventNs = OptionalLong.empty();
+    private long mAnsweredNs;
     private boolean mEnded;
 
     /** Response of an upstream, kept while another upstream is tried. */
@@ -90,7 +98,9 @@
                 mContext.scheduler()
                         .schedule(remainingTime().minus(RESPONSE_MARGIN), this::onDeadline);
         mContext.retryBudgets().forService(mRequest.service().name()).onRequest(nowNs());
-        if (mContext.targetPolicy().admits(mRequest.service(), nowNs())) {
+        if (quarantineTimeLeft().isPresent()) {
+            fail(QUARANTINED);
+        } else if (mContext.targetPolicy().admits(mRequest.service(), nowNs())) {
             tryNextUpstream("first");
         } else {
             fail("most of the capacity is lost");
@@ -98,6 +108,10 @@
     }
 
     private void tryNextUpstream(String reason) {
+        if (quarantineTimeLeft().isPresent()) {
+            fail(QUARANTINED + "; last cause: " + reason);
+            return;
+        }
         Optional<Target> target =
                 mContext.targetPolicy().choose(mRequest.service(), mExcludedUpstreams, nowNs());
         if (target.isEmpty()) {
@@ -109,6 +123,7 @@
 
     private void sendTo(Target target, String reason) {
         mSendCount++;
+        mFirstEventNs = OptionalLong.empty();
         Duration remainingTime = remainingTime();
         UpstreamRequestMetadata metadata =
                 new UpstreamRequestMetadata(
@@ -157,6 +172,7 @@
             recordSuccess(mAttempt.get().target());
         }
         mStallDetector.onEvent();
+        recordProgress();
         if (!mResponseWriter.sendChunk(events)) {
             mAttempt.ifPresent(ForwardAttempt::pause);
         }
@@ -168,6 +184,9 @@
             return;
         }
         recordSuccess(mAttempt.get().target());
+        if (mFirstEventNs.isPresent()) {
+            recordAnswered();
+        }
         end("answered", "stream complete");
         mResponseWriter.finish();
     }
@@ -189,10 +208,27 @@
         }
         if (success) {
             recordSuccess(attempt.target());
+            recordAnswered();
         }
         deliver(mLastResponse.get(), "status " + status);
     }
 
+    /** Records at intervals that the engine keeps sending events. */
+    private void recordProgress() {
+        long nowNs = nowNs();
+        if (mFirstEventNs.isEmpty()) {
+            mFirstEventNs = OptionalLong.of(nowNs);
+            mAnsweredNs = nowNs;
+        } else if (nowNs - mAnsweredNs >= MIN_ANSWERING_TIME.toNanos()) {
+            mAnsweredNs = nowNs;
+            recordAnswered();
+        }
+    }
+
+    private void recordAnswered() {
+        mContext.quarantine().onAnswered(mRequest.metadata().sharedPromptParts(), nowNs());
+    }
+
     private void deliver(BufferedResponse response, String detail) {
         end("answered", detail);
         mResponseWriter.sendComplete(response.status(), response.headers(), response.body());
@@ -226,6 +262,11 @@
 
     void onResponseLost(ForwardAttempt attempt, String reason) {
         logLoss(attempt, reason);
+        if (attempt.sent() && attempt.target().chain().isPresent() && !isAnswering()) {
+            mContext.crashes()
+                    .onResponseLost(
+                            attempt.target().upstream(), mRequest.metadata().sharedPromptParts());
+        }
         recordRun(attempt);
         if (!mStreamStarted || attempt.target().chain().isEmpty()) {
             recordFailure(attempt.target().upstream(), reason);
@@ -238,6 +279,31 @@
         }
     }
 
+    /** Returns whether the current attempt has been answered for long. */
+    private boolean isAnswering() {
+        return mFirstEventNs.isPresent()
+                && nowNs() - mFirstEventNs.getAsLong() >= MIN_ANSWERING_TIME.toNanos();
+    }
+
+    private Optional<Duration> quarantineTimeLeft() {
+        return mContext.quarantine().timeLeft(mRequest.metadata().sharedPromptParts(), nowNs());
+    }
+
+    /**
+     * Ends a request whose prompt has been quarantined since it was sent, before the engine begins
+     * to run it. One that is being answered is not at fault.
+     */
+    void onQuarantine() {
+        if (!mEnded && !mStreamStarted && quarantineTimeLeft().isPresent()) {
+            mAttempt.ifPresent(
+                    attempt -> {
+                        mMayHaveRun |= attempt.sent();
+                        attempt.cancel();
+                    });
+            fail(QUARANTINED);
+        }
+    }
+
     private void recordRun(ForwardAttempt attempt) {
         mMayHaveRun |= attempt.sent();
         if (countsAsRun(attempt)) {
@@ -370,6 +436,10 @@
             boolean timedOut = remainingTime().compareTo(RESPONSE_MARGIN.multipliedBy(2)) < 0;
             end(timedOut ? "timeout" : "interrupted", reason);
             mResponses.sendInterrupted(mExchange, mRequest.metadata().requestId(), timedOut);
+        } else if (quarantineTimeLeft().isPresent()) {
+            end("refused", reason);
+            mResponses.sendQuarantined(
+                    mExchange, mRequest.metadata().requestId(), quarantineTimeLeft().get());
         } else {
             end("refused", reason);
             Optional<Duration> drainTime =
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -1,6 +1,8 @@
 package org.amaranthpick.server.gateway;
 
+import com.fasterxml.jackson.core.type.TypeReference;
 import com.google.common.flogger.FluentLogger;
+import io.undertow.Handlers;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
@@ -8,6 +10,7 @@
 import io.undertow.util.StatusCodes;
 import java.net.URI;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -20,8 +23,12 @@
 import org.amaranthpick.core.layers.LayerPlacementController;
 import org.amaranthpick.core.placement.LeaseContext;
 import org.amaranthpick.core.placement.LeaseManager;
+import org.amaranthpick.core.quarantine.PromptQuarantine;
+import org.amaranthpick.core.quarantine.QuarantineGossip;
+import org.amaranthpick.core.quarantine.QuarantineMessage;
 import org.amaranthpick.core.register.DaemonCounter;
 import org.amaranthpick.core.register.HealthGossip;
+import org.amaranthpick.core.register.HealthNote;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
 import org.amaranthpick.core.store.ObjectStore;
@@ -49,6 +56,8 @@
     /** Connections to one other daemon; reports are small and rare. */
     private static final int MAX_PEER_CONNECTIONS = 2;
 
+    private static final String HEALTH_NOTES_PATH = "/health-notes";
+    private static final String QUARANTINE_PATH = "/quarantine";
     private static final Duration PEER_IDLE_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration CONTROL_PERIOD = Duration.ofMillis(250);
 
@@ -81,7 +90,9 @@
     private final LayerPlacementController mLayerPlacement;
     private final HttpConnector mConnector;
     private final HttpConnector mPeerConnector;
-    private final HealthNoteLink mNoteLink;
+    private final PeerMessageLink<HealthNote[]> mHealthLink;
+    private final PeerMessageLink<QuarantineMessage> mQuarantineLink;
+    private final QuarantineGossip mQuarantineGossip;
     private final GatewayHandler mHandler;
     private final WatchPacing mPacing;
     private final RandomGenerator mRandom;
@@ -91,6 +102,7 @@
     private Undertow mMetricsListener;
     private Optional<Undertow> mPeerListener = Optional.empty();
     private boolean mDraining;
+    private boolean mQuarantineRequested;
 
     /**
      * Creates a gateway; {@link #start()} starts it.
@@ -160,12 +172,20 @@
                         new ConnectorSettings(
                                 MAX_CONNECTIONS, MAX_CONNECTIONS, CONNECT_TIMEOUT, NO_REUSE));
         mPeerConnector = createPeerConnector(worker, scheduler);
-        mNoteLink = new HealthNoteLink(mPeerConnector);
-        mNoteLink.setReceiver(createGossip(register, health)::onNotes);
-        GatewayContext context = createContext(register, health, dialect, engines);
+        mHealthLink =
+                new PeerMessageLink<>(mPeerConnector, HEALTH_NOTES_PATH, new TypeReference<>() {});
+        HealthGossip healthGossip = createHealthGossip(register, health);
+        mHealthLink.setReceiver(notes -> healthGossip.onNotes(List.of(notes)));
+        PromptQuarantine quarantine = new PromptQuarantine();
+        mQuarantineLink =
+                new PeerMessageLink<>(mPeerConnector, QUARANTINE_PATH, new TypeReference<>() {});
+        mQuarantineGossip = createQuarantineGossip(quarantine);
+        mQuarantineLink.setReceiver(mQuarantineGossip::onMessage);
+        GatewayContext context = createContext(register, health, dialect, engines, quarantine);
         mHandler =
                 new GatewayHandler(
                         context, mConfiguration::current, new GatewayResponses(dialect, random));
+        quarantine.setOnQuarantine(mHandler::onQuarantine);
     }
 
     private static HttpConnector createPeerConnector(
@@ -180,13 +200,23 @@
                         PEER_IDLE_TIMEOUT));
     }
 
-    private HealthGossip createGossip(UpstreamRegister register, UpstreamHealth health) {
+    private HealthGossip createHealthGossip(UpstreamRegister register, UpstreamHealth health) {
         return new HealthGossip(
                 mSettings.host(),
                 health,
                 register::size,
                 mDaemonCounter::peers,
-                mNoteLink,
+                (peer, notes) -> mHealthLink.send(peer, notes.toArray(HealthNote[]::new)),
+                mScheduler,
+                mRandom);
+    }
+
+    private QuarantineGossip createQuarantineGossip(PromptQuarantine quarantine) {
+        return new QuarantineGossip(
+                mSettings.peerAddress().map(URI::getAuthority).orElse(""),
+                quarantine,
+                mDaemonCounter::peers,
+                mQuarantineLink::send,
                 mScheduler,
                 mRandom);
     }
@@ -195,7 +225,8 @@
             UpstreamRegister register,
             UpstreamHealth health,
             GatewayDialect dialect,
-            EngineControl engines) {
+            EngineControl engines,
+            PromptQuarantine quarantine) {
         return new GatewayContext(
                 mScheduler,
                 dialect,
@@ -205,6 +236,8 @@
                 new LeastLoadedTargetPolicy(
                         register, health, mSettings.domain(), mDaemonCounter::count, mRandom),
                 new CachingEngineControl(engines, mScheduler),
+                quarantine,
+                new CrashDetector(engines, quarantine, mScheduler),
                 new RetryBudgets(
                         mSettings.retryBudgetRatio(),
                         this::retryBudgetPart,
@@ -243,13 +276,20 @@
         mReadinessListener = startListener(mSettings.readinessAddress(), this::handleReadiness);
         mCallerListener = startListener(mSettings.callerAddress(), mHandler);
         mMetricsListener = startListener(mSettings.metricsAddress(), mMetrics::write);
-        mPeerListener = mSettings.peerAddress().map(address -> startListener(address, mNoteLink));
+        mPeerListener =
+                mSettings.peerAddress().map(address -> startListener(address, peerHandler()));
         mScheduler.schedule(Duration.ZERO, this::runControlStep);
         sLogger.atInfo().log(
                 "start: host=%s domain=%s callers=%s",
                 mSettings.host(), mSettings.domain(), mSettings.callerAddress());
     }
 
+    private HttpHandler peerHandler() {
+        return Handlers.path()
+                .addExactPath(mHealthLink.path(), mHealthLink)
+                .addExactPath(mQuarantineLink.path(), mQuarantineLink);
+    }
+
     /**
      * Withdraws readiness, serves on for {@link #BALANCER_LAG}, then refuses further requests.
      * Returns once the requests in progress have finished or the shutdown grace has passed.
@@ -294,6 +334,10 @@
      */
     private void onDaemonCount(int daemons) {
         mPacing.setDaemonCount(daemons);
+        if (!mQuarantineRequested) {
+            mQuarantineRequested = true;
+            mQuarantineGossip.requestAll();
+        }
         if (mLease.held().isEmpty()) {
             mLeaseRank = mRandom.nextInt(Math.max(CANDIDATE_RANKS, daemons));
         }
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
@@ -3,6 +3,7 @@
 import java.util.random.RandomGenerator;
 import org.amaranthpick.core.gateway.LeastLoadedTargetPolicy;
 import org.amaranthpick.core.layers.EngineControl;
+import org.amaranthpick.core.quarantine.PromptQuarantine;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
 import org.amaranthpick.server.http.HttpConnector;
@@ -18,6 +19,8 @@
  * @param health health of the upstreams as observed from the forwarded requests
  * @param targetPolicy selects the target of each attempt
  * @param engines queries engines for their state
+ * @param quarantine parts of prompts that crash engines
+ * @param crashes finds out which engines have crashed
  * @param retryBudgets retry budget of each service
  * @param metrics counters and histograms
  * @param random random source
@@ -30,6 +33,8 @@
         UpstreamHealth health,
         LeastLoadedTargetPolicy targetPolicy,
         EngineControl engines,
+        PromptQuarantine quarantine,
+        CrashDetector crashes,
         RetryBudgets retryBudgets,
         GatewayMetrics metrics,
         RandomGenerator random) {}
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
@@ -188,6 +188,11 @@
         Set.copyOf(mInProgress).forEach(other -> other.onEngineUnresponsive(engineId, reason));
     }
 
+    /** Stops requests whose prompts have been quarantined since they were sent. */
+    void onQuarantine() {
+        Set.copyOf(mInProgress).forEach(ForwardedExchange::onQuarantine);
+    }
+
     private static int priorityOf(GatewayRoute route, Optional<Credential> credential) {
         return credential
                 .map(Credential::priority)
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -37,7 +37,8 @@
     private final Counter mLossCount =
             Counter.builder()
                     .name("amaranthpick_gateway_lost_attempts_total")
-                    .help("Sends whose response was lost, by kind of route and whether it had begun")
+                    .help(
+                            "Sends whose response was lost, by kind of route and whether it had begun")
                     .labelNames("kind", "begun")
                     .register(mRegistry);
     private final Histogram mResponseTime =
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayResponses.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayResponses.java
@@ -36,6 +36,17 @@
         send(exchange, requestId, StatusCodes.SERVICE_UNAVAILABLE, "not run; come back later\n");
     }
 
+    /** Reports that the request has not run, and how long its prompt will be refused. */
+    void sendQuarantined(HttpServerExchange exchange, String requestId, Duration timeLeft) {
+        exchange.getResponseHeaders()
+                .put(Headers.RETRY_AFTER, Long.toString(timeLeft.toSeconds() + 1));
+        send(
+                exchange,
+                requestId,
+                StatusCodes.SERVICE_UNAVAILABLE,
+                "not run; a part of the prompt crashes engines\n");
+    }
+
     /** Reports that the request may have run, but its response was lost or did not come in time. */
     void sendInterrupted(HttpServerExchange exchange, String requestId, boolean timedOut) {
         int status = timedOut ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY;
--- a/server/src/main/java/org/amaranthpick/server/gateway/HealthNoteLink.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/PeerMessageLink.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.server.gateway;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.flogger.FluentLogger;
@@ -12,23 +13,22 @@
 import java.io.UncheckedIOException;
 import java.net.URI;
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.amaranthpick.core.register.HealthGossip;
-import org.amaranthpick.core.register.HealthNote;
 import org.amaranthpick.server.http.BodyCollector;
 import org.amaranthpick.server.http.HttpConnector;
 import org.amaranthpick.server.http.OutgoingRequest;
 
 /**
- * Sends health notes to other daemons and receives theirs, as JSON over HTTP. A message that is
- * lost is not sent again: others reach the daemon by other paths, or it observes for itself.
+ * Sends messages of one kind to other daemons and receives theirs, as JSON over HTTP. A message
+ * that is lost is not sent again: others reach the daemon by other paths, or it observes for
+ * itself.
+ *
+ * @param <M> type of the messages
  */
-final class HealthNoteLink implements HttpHandler, HealthGossip.Sender {
+final class PeerMessageLink<M> implements HttpHandler {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-    private static final String PATH = "/health-notes";
     private static final Duration TIMEOUT = Duration.ofMillis(500);
     private static final int MAX_MESSAGE_BYTES = 64 * 1024;
     private static final int MAX_REPLY_BYTES = 1024;
@@ -36,18 +36,32 @@
             new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
     private final HttpConnector mConnector;
-    private Consumer<List<HealthNote>> mReceiver = notes -> {};
+    private final String mPath;
+    private final TypeReference<M> mType;
+    private Consumer<M> mReceiver = message -> {};
 
-    HealthNoteLink(HttpConnector connector) {
+    /**
+     * Creates a link.
+     *
+     * @param connector connections to the other daemons
+     * @param path path at which the daemons accept the messages
+     * @param type type of the messages
+     */
+    PeerMessageLink(HttpConnector connector, String path, TypeReference<M> type) {
         mConnector = connector;
+        mPath = path;
+        mType = type;
     }
 
-    void setReceiver(Consumer<List<HealthNote>> receiver) {
+    String path() {
+        return mPath;
+    }
+
+    void setReceiver(Consumer<M> receiver) {
         mReceiver = receiver;
     }
 
-    @Override
-    public void send(String peerAddress, List<HealthNote> notes) {
+    void send(String peerAddress, M message) {
         Optional<URI> address = parse(peerAddress);
         if (address.isEmpty()) {
             return;
@@ -56,9 +70,9 @@
                 new OutgoingRequest(
                         address.get(),
                         "POST",
-                        PATH,
+                        mPath,
                         Map.of("Content-Type", "application/json"),
-                        encode(notes),
+                        encode(message),
                         TIMEOUT,
                         Optional.of(TIMEOUT)),
                 new BodyCollector(MAX_REPLY_BYTES));
@@ -73,9 +87,9 @@
         }
     }
 
-    private static byte[] encode(List<HealthNote> notes) {
+    private byte[] encode(M message) {
         try {
-            return MAPPER.writeValueAsBytes(notes);
+            return MAPPER.writeValueAsBytes(message);
         } catch (JsonProcessingException e) {
             throw new UncheckedIOException(e);
         }
@@ -84,7 +98,7 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         if (!exchange.getRequestMethod().equals(Methods.POST)
-                || !exchange.getRequestPath().equals(PATH)) {
+                || !exchange.getRequestPath().equals(mPath)) {
             exchange.setStatusCode(StatusCodes.NOT_FOUND);
             exchange.endExchange();
             return;
@@ -101,10 +115,10 @@
 
     private void receive(HttpServerExchange exchange, byte[] body) {
         try {
-            mReceiver.accept(List.of(MAPPER.readValue(body, HealthNote[].class)));
+            mReceiver.accept(MAPPER.readValue(body, mType));
             exchange.setStatusCode(StatusCodes.NO_CONTENT);
         } catch (IOException | RuntimeException e) {
-            sLogger.atInfo().log("gossip: cannot read notes: %s", e.getMessage());
+            sLogger.atInfo().log("gossip: cannot read a message: %s", e.getMessage());
             exchange.setStatusCode(StatusCodes.BAD_REQUEST);
         }
         exchange.endExchange();
--- a/server/src/test/java/org/amaranthpick/server/gateway/HealthNoteLinkTest.java
+++ b/server/src/test/java/org/amaranthpick/server/gateway/PeerMessageLinkTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
+import com.fasterxml.jackson.core.type.TypeReference;
 import io.undertow.Undertow;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -29,14 +30,14 @@
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
-class HealthNoteLinkTest {
+class PeerMessageLinkTest {
     private static final HealthNote NOTE =
             new HealthNote("host-1", 17, 3, "e-1", HealthNote.Kind.REFUSED);
 
     private final BlockingQueue<List<HealthNote>> mReceived = new LinkedBlockingQueue<>();
     private XnioWorker mWorker;
     private HttpConnector mConnector;
-    private HealthNoteLink mLink;
+    private PeerMessageLink<HealthNote[]> mLink;
     private Undertow mListener;
     private int mPort;
 
@@ -48,8 +49,8 @@
                         mWorker,
                         new IoThreadScheduler(mWorker.getIoThread()),
                         new ConnectorSettings(2, 2, Duration.ofSeconds(5), Duration.ofSeconds(5)));
-        mLink = new HealthNoteLink(mConnector);
-        mLink.setReceiver(mReceived::add);
+        mLink = new PeerMessageLink<>(mConnector, "/health-notes", new TypeReference<>() {});
+        mLink.setReceiver(notes -> mReceived.add(List.of(notes)));
         mListener =
                 Undertow.builder()
                         .setWorker(mWorker)
@@ -79,15 +80,15 @@
 
     @Test
     void notesArriveAsSent() throws InterruptedException {
-        mLink.send("127.0.0.1:" + mPort, List.of(NOTE, NOTE));
+        mLink.send("127.0.0.1:" + mPort, new HealthNote[] {NOTE, NOTE});
         assertEquals(List.of(NOTE, NOTE), mReceived.poll(20, TimeUnit.SECONDS));
     }
 
     /** An object in the store may come from another writer. */
     @Test
     void anAddressThatIsNoneIsSkipped() throws InterruptedException {
-        mLink.send("not an address", List.of(NOTE));
-        mLink.send("127.0.0.1:" + mPort, List.of(NOTE));
+        mLink.send("not an address", new HealthNote[] {NOTE});
+        mLink.send("127.0.0.1:" + mPort, new HealthNote[] {NOTE});
         assertEquals(List.of(NOTE), mReceived.poll(20, TimeUnit.SECONDS));
     }
 
