Keep to the rate of requests that an engine names, all daemons together

Cause: the header was passed over; engines were chosen by load and memory alone.

Now a daemon that reads a limit takes part of the rate or none. An engine's daemons follow by rendezvous from the list that all have, their number from the rate, so that what they may have saved up stays within what is tolerated; the sum needs no messages and holds in a cut. The others send one request now and then to ask, and hear of the end of a limit by the gossip of health notes. A chain is left out while its first engine has had its requests.

--- a/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
@@ -13,6 +13,7 @@
 import org.amaranthpick.core.layers.ChainLoadBalancer;
 import org.amaranthpick.core.layers.EngineChain;
 import org.amaranthpick.core.layers.TokenLatencyEstimator;
+import org.amaranthpick.core.register.RequestRateLimits;
 import org.amaranthpick.core.register.UpstreamEntry;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
@@ -22,9 +23,10 @@
  * requests of this daemon in progress, with a preference for the local failure domain. For models,
  * it is the least loaded of the chains that fit into the memory of all engines together. If none is
  * left, any chain over engines at which the request has not failed is used, even over excluded
- * engines, since the request would be refused otherwise. Designed for hundreds of engines that fail
- * and come back all the time: chains that are still intact serve on while others are searched at
- * bounded intervals. Confined to one thread.
+ * engines, since the request would be refused otherwise. No request goes to an upstream that has
+ * had as many as it takes. Designed for hundreds of engines that fail and come back all the time:
+ * chains that are still intact serve on while others are searched at bounded intervals. Confined to
+ * one thread.
  */
 public final class LeastLoadedTargetPolicy implements TargetPolicy {
     /**
@@ -47,6 +49,7 @@
 
     private final UpstreamRegister mRegister;
     private final UpstreamHealth mHealth;
+    private final RequestRateLimits mRateLimits;
     private final String mLocalDomain;
     private final RandomGenerator mRandom;
     private final TokenLatencyEstimator mLatency = new TokenLatencyEstimator();
@@ -96,6 +99,7 @@
      *
      * @param register registered upstreams
      * @param health health of the upstreams as seen in traffic
+     * @param rateLimits limits that upstreams set to their requests
      * @param domain failure domain of this daemon
      * @param daemons returns the number of daemons
      * @param random source of the jitter
@@ -103,11 +107,13 @@
     public LeastLoadedTargetPolicy(
             UpstreamRegister register,
             UpstreamHealth health,
+            RequestRateLimits rateLimits,
             String domain,
             IntSupplier daemons,
             RandomGenerator random) {
         mRegister = register;
         mHealth = health;
+        mRateLimits = rateLimits;
         mDaemons = daemons;
         mLocalDomain = domain;
         mRandom = random;
@@ -124,13 +130,15 @@
         List<EngineChain> chains =
                 chains(service, model, nowNs).stream()
                         .filter(chain -> tried.stream().noneMatch(chain::contains))
+                        .filter(chain -> mRateLimits.allows(chain.firstEngine().id(), nowNs))
                         .toList();
         if (!chains.isEmpty()) {
             return mLoadBalancer
                     .leastLoaded(chains, mHealth::failing, nowNs)
                     .map(LeastLoadedTargetPolicy::target);
         }
-        Predicate<UpstreamEntry> untried = entry -> !tried.contains(entry.id());
+        Predicate<UpstreamEntry> untried =
+                entry -> !tried.contains(entry.id()) && mRateLimits.allows(entry.id(), nowNs);
         ChainFinder finder = new ChainFinder(model, mLocalDomain);
         List<UpstreamEntry> engines = mRegister.findByService(service.name());
         return finder.findCheapest(engines, usable(nowNs).and(untried))
@@ -228,7 +236,9 @@
         UpstreamEntry best = null;
         double bestScore = 0;
         for (UpstreamEntry entry : mRegister.findByService(service)) {
-            if (entry.leaving() || tried.contains(entry.id())) {
+            if (entry.leaving()
+                    || tried.contains(entry.id())
+                    || !mRateLimits.allows(entry.id(), nowNs)) {
                 continue;
             }
             double score = mPlainInProgress.getOrDefault(entry.id(), 0) + mRandom.nextDouble() / 4;
--- a/core/src/main/java/org/amaranthpick/core/register/HealthGossip.java
+++ b/core/src/main/java/org/amaranthpick/core/register/HealthGossip.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -57,6 +58,7 @@
     private final List<HealthNote> mPending = new ArrayList<>();
     private final Map<String, Boolean> mKnownNotes = bounded(MAX_REMEMBERED_NOTES);
     private final Map<String, Deque<Long>> mAccusations = bounded(MAX_ORIGINS);
+    private Optional<RequestRateLimits> mRateLimits = Optional.empty();
     private long mNoteCount;
 
     /** Sends notes to other daemons, without waiting and without a promise that they arrive. */
@@ -101,6 +103,16 @@
         health.setListener(this::onObservation);
     }
 
+    /**
+     * Reports the ends of limits that this daemon observes, and applies those that others report.
+     *
+     * @param rateLimits limits that upstreams set to their requests
+     */
+    public void observe(RequestRateLimits rateLimits) {
+        mRateLimits = Optional.of(rateLimits);
+        rateLimits.setListener(id -> onObservation(id, HealthNote.Kind.UNLIMITED));
+    }
+
     private static <V> Map<String, V> bounded(int maxSize) {
         return new LinkedHashMap<>() {
             @Override
@@ -111,7 +123,7 @@
     }
 
     private void onObservation(String upstreamId, HealthNote.Kind kind) {
-        if (mayAccuse(mSelf)) {
+        if (kind == HealthNote.Kind.UNLIMITED || mayAccuse(mSelf)) {
             HealthNote note = new HealthNote(mSelf, mStartedAtNs, ++mNoteCount, upstreamId, kind);
             mKnownNotes.put(note.key(), true);
             pass(note);
@@ -131,12 +143,12 @@
         if (note.origin().equals(mSelf) || mKnownNotes.put(note.key(), true) != null) {
             return;
         }
-        long nowNs = mScheduler.monotonicNs();
-        long trustedSinceNs = nowNs - TRUSTED_AFTER_SUCCESS.toNanos();
         boolean news =
-                !mHealth.succeededSince(note.upstreamId(), trustedSinceNs)
-                        && mayAccuse(note.origin())
-                        && mHealth.onReported(note.upstreamId(), note.kind(), nowNs);
+                note.kind() == HealthNote.Kind.UNLIMITED
+                        ? mRateLimits
+                                .filter(limits -> limits.onReportedUnlimited(note.upstreamId()))
+                                .isPresent()
+                        : applyFailure(note);
         if (news) {
             sLogger.atInfo().log(
                     "gossip: upstream=%s kind=%s origin=%s",
@@ -145,6 +157,14 @@
         }
     }
 
+    private boolean applyFailure(HealthNote note) {
+        long nowNs = mScheduler.monotonicNs();
+        long trustedSinceNs = nowNs - TRUSTED_AFTER_SUCCESS.toNanos();
+        return !mHealth.succeededSince(note.upstreamId(), trustedSinceNs)
+                && mayAccuse(note.origin())
+                && mHealth.onReported(note.upstreamId(), note.kind(), nowNs);
+    }
+
     private void pass(HealthNote note) {
         if (mPending.isEmpty()) {
             mScheduler.schedule(BATCHING_DELAY, this::sendPending);
--- a/core/src/main/java/org/amaranthpick/core/register/HealthNote.java
+++ b/core/src/main/java/org/amaranthpick/core/register/HealthNote.java
@@ -18,7 +18,9 @@
         /** The upstream could not be reached, or did not respond. */
         UNREACHABLE,
         /** The upstream refused a request, or could not be reached by the engine before it. */
-        REFUSED
+        REFUSED,
+        /** The upstream names no limit to the rate of its requests any more. */
+        UNLIMITED
     }
 
     /** Refuses incomplete notes, as they may come from elsewhere. */
--- a/core/src/test/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicyTest.java
+++ b/core/src/test/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicyTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.amaranthpick.core.manifest.LayerRange;
+import org.amaranthpick.core.register.RequestRateLimits;
 import org.amaranthpick.core.register.UpstreamEntry;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
@@ -41,9 +42,11 @@
 
     private final UpstreamRegister mRegister = new UpstreamRegister();
     private final UpstreamHealth mHealth = new UpstreamHealth();
+    private final RequestRateLimits mRateLimits =
+            new RequestRateLimits("", List::of, () -> 1, id -> true, new SplittableRandom(3));
     private final LeastLoadedTargetPolicy mPolicy =
             new LeastLoadedTargetPolicy(
-                    mRegister, mHealth, "home", () -> 1, new SplittableRandom(2));
+                    mRegister, mHealth, mRateLimits, "home", () -> 1, new SplittableRandom(2));
 
     /** Registers four chains of two engines each. */
     @BeforeEach
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
@@ -60,6 +60,7 @@
 
     void start() {
         mContext.targetPolicy().onSent(mTarget);
+        mContext.rateLimits().onSent(mTarget.upstream().id(), mContext.scheduler().monotonicNs());
         mCall.start();
     }
 
@@ -111,6 +112,11 @@
             mExchange.onResponseLost(this, "received the response to another request");
             return;
         }
+        mContext.rateLimits()
+                .onResponse(
+                        mTarget.upstream().id(),
+                        mContext.dialect().readRequestLimit(headers),
+                        mContext.scheduler().monotonicNs());
         String type = headers.getFirst(Headers.CONTENT_TYPE);
         mStreaming =
                 verdict instanceof UpstreamVerdict.Success
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -29,6 +29,7 @@
 import org.amaranthpick.core.register.DaemonCounter;
 import org.amaranthpick.core.register.HealthGossip;
 import org.amaranthpick.core.register.HealthNote;
+import org.amaranthpick.core.register.RequestRateLimits;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
 import org.amaranthpick.core.store.ObjectStore;
@@ -175,13 +176,16 @@
         mHealthLink =
                 new PeerMessageLink<>(mPeerConnector, HEALTH_NOTES_PATH, new TypeReference<>() {});
         HealthGossip healthGossip = createHealthGossip(register, health);
+        RequestRateLimits rateLimits = createRateLimits(register);
+        healthGossip.observe(rateLimits);
         mHealthLink.setReceiver(notes -> healthGossip.onNotes(List.of(notes)));
         PromptQuarantine quarantine = new PromptQuarantine();
         mQuarantineLink =
                 new PeerMessageLink<>(mPeerConnector, QUARANTINE_PATH, new TypeReference<>() {});
         mQuarantineGossip = createQuarantineGossip(quarantine);
         mQuarantineLink.setReceiver(mQuarantineGossip::onMessage);
-        GatewayContext context = createContext(register, health, dialect, engines, quarantine);
+        GatewayContext context =
+                createContext(register, health, rateLimits, dialect, engines, quarantine);
         mHandler =
                 new GatewayHandler(
                         context, mConfiguration::current, new GatewayResponses(dialect, random));
@@ -211,6 +215,15 @@
                 mRandom);
     }
 
+    private RequestRateLimits createRateLimits(UpstreamRegister register) {
+        return new RequestRateLimits(
+                mSettings.peerAddress().map(URI::getAuthority).orElse(""),
+                mDaemonCounter::peers,
+                mDaemonCounter::count,
+                id -> register.findById(id).isPresent(),
+                mRandom);
+    }
+
     private QuarantineGossip createQuarantineGossip(PromptQuarantine quarantine) {
         return new QuarantineGossip(
                 mSettings.peerAddress().map(URI::getAuthority).orElse(""),
@@ -224,6 +237,7 @@
     private GatewayContext createContext(
             UpstreamRegister register,
             UpstreamHealth health,
+            RequestRateLimits rateLimits,
             GatewayDialect dialect,
             EngineControl engines,
             PromptQuarantine quarantine) {
@@ -233,8 +247,14 @@
                 mConnector,
                 register,
                 health,
+                rateLimits,
                 new LeastLoadedTargetPolicy(
-                        register, health, mSettings.domain(), mDaemonCounter::count, mRandom),
+                        register,
+                        health,
+                        rateLimits,
+                        mSettings.domain(),
+                        mDaemonCounter::count,
+                        mRandom),
                 new CachingEngineControl(engines, mScheduler),
                 quarantine,
                 new CrashDetector(engines, quarantine, mScheduler),
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
@@ -4,6 +4,7 @@
 import org.amaranthpick.core.gateway.LeastLoadedTargetPolicy;
 import org.amaranthpick.core.layers.EngineControl;
 import org.amaranthpick.core.quarantine.PromptQuarantine;
+import org.amaranthpick.core.register.RequestRateLimits;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
 import org.amaranthpick.server.http.HttpConnector;
@@ -17,6 +18,7 @@
  * @param connector connections to upstreams
  * @param register registered upstreams
  * @param health health of the upstreams as observed from the forwarded requests
+ * @param rateLimits limits that upstreams set to their requests
  * @param targetPolicy selects the target of each attempt
  * @param engines queries engines for their state
  * @param quarantine parts of prompts that crash engines
@@ -31,6 +33,7 @@
         HttpConnector connector,
         UpstreamRegister register,
         UpstreamHealth health,
+        RequestRateLimits rateLimits,
         LeastLoadedTargetPolicy targetPolicy,
         EngineControl engines,
         PromptQuarantine quarantine,
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayDialect.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayDialect.java
@@ -3,6 +3,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import java.util.Map;
+import java.util.OptionalDouble;
 import org.amaranthpick.core.gateway.UpstreamVerdict;
 
 /** Translates between the HTTP headers of a platform and the types of the gateway. */
@@ -34,6 +35,15 @@
      */
     UpstreamVerdict classifyResponse(int status, HeaderMap headers, String requestId);
 
+    /**
+     * Returns the rate of requests that an upstream takes from all daemons, as its response names
+     * it.
+     *
+     * @param headers response headers
+     * @return requests per second, empty if it names none or the value is malformed
+     */
+    OptionalDouble readRequestLimit(HeaderMap headers);
+
     /**
      * Returns whether a header of an upstream's response is forwarded to the caller.
      *
--- a/tools/src/main/java/org/amaranthpick/tools/experiment/PolicyKind.java
+++ b/tools/src/main/java/org/amaranthpick/tools/experiment/PolicyKind.java
@@ -1,8 +1,10 @@
 package org.amaranthpick.tools.experiment;
 
+import java.util.List;
 import java.util.random.RandomGenerator;
 import org.amaranthpick.core.gateway.LeastLoadedTargetPolicy;
 import org.amaranthpick.core.gateway.TargetPolicy;
+import org.amaranthpick.core.register.RequestRateLimits;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
 
@@ -35,7 +37,13 @@
         ChainSource chains = new ChainSource(register, health, domain);
         return switch (this) {
             case GATEWAY ->
-                    new LeastLoadedTargetPolicy(register, health, domain, () -> daemons, random);
+                    new LeastLoadedTargetPolicy(
+                            register,
+                            health,
+                            new RequestRateLimits("", List::of, () -> 1, id -> true, random),
+                            domain,
+                            () -> daemons,
+                            random);
             case FIRST_COME -> BaselinePolicy.firstCome(chains);
             case LEAST_OUTSTANDING -> BaselinePolicy.leastOutstanding(chains, random);
             case RANDOM -> BaselinePolicy.random(chains, random);
