Own interface: don't send prompts that end stages to one stage after the other

A router now quarantines the beginnings of prompts under which three upstreams were lost before a token, compared by the block hashes that are there already; requests with them end as not run, with the time left. An answered request clears its beginnings, so what sound prompts share is sent on.

Each daemon knows its own losses only: the peers of the own interface don't exchange them yet.

--- a/core/src/main/java/org/amaranthpick/core/request/Exchange.java
+++ b/core/src/main/java/org/amaranthpick/core/request/Exchange.java
@@ -146,6 +146,10 @@
         return mContext.frameCounters();
     }
 
+    final CrashingPrompts crashingPrompts() {
+        return mContext.crashingPrompts();
+    }
+
     final RequestMetadata metadata() {
         return mMetadata;
     }
--- a/core/src/main/java/org/amaranthpick/core/request/ExchangeContext.java
+++ b/core/src/main/java/org/amaranthpick/core/request/ExchangeContext.java
@@ -25,6 +25,13 @@
      */
     FrameCounters frameCounters();
 
+    /**
+     * Returns the prompts that are not sent since stages were lost under them.
+     *
+     * @return prompts, shared by all requests
+     */
+    CrashingPrompts crashingPrompts();
+
     /**
      * Removes an exchange whose outcome was delivered from the requests in progress.
      *
--- a/core/src/main/java/org/amaranthpick/core/request/ModelExchange.java
+++ b/core/src/main/java/org/amaranthpick/core/request/ModelExchange.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.core.request;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.amaranthpick.core.admit.AdmissionRequest;
 import org.amaranthpick.core.claim.ClaimAnswer;
@@ -24,6 +25,7 @@
     private final ModelRequestMapper mMapper;
     private final TimeoutExclusion mTimeoutExclusion = new TimeoutExclusion();
     private final TokenSequencer mSequencer;
+    private final List<String> mPromptParts;
     private final AttemptEvents mEvents = new AttemptEventHandler();
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<Chain> mPreviousChain = Optional.empty();
@@ -44,6 +46,7 @@
         mMapper =
                 new ModelRequestMapper(
                         request, model, context.dependencies().promptAnalyzer().analyze(request));
+        mPromptParts = CrashingPrompts.parts(mMapper.prompt().prefixHashes());
         mSequencer =
                 new TokenSequencer(
                         request.requestId(),
@@ -75,6 +78,14 @@
 
     @Override
     void startAttempt() {
+        Optional<Duration> quarantine = crashingPrompts().timeLeft(mPromptParts);
+        if (quarantine.isPresent()) {
+            giveUp(
+                    RefusalReason.UPSTREAM_REFUSED,
+                    "engines were lost under the beginning of this prompt",
+                    quarantine);
+            return;
+        }
         ChainDecision decision =
                 dependencies()
                         .chainChooser()
@@ -261,6 +272,9 @@
             dependencies().chainFeedback().onFailure(notSent.upstream(), notSent.reason());
             retryWithout(notSent.upstream(), "not sent: " + notSent.reason(), Optional.empty());
         } else if (end instanceof StreamEnd.StageLost lost) {
+            if (!attempt.hasFirstToken()) {
+                crashingPrompts().onStageLost(lost.upstream(), mPromptParts);
+            }
             fail(attempt, lost.upstream(), lost.reason());
         }
     }
@@ -281,6 +295,7 @@
 
     private void complete(Attempt attempt, StreamEnd.Finished finished) {
         history().setState(attempt.number(), AttemptHistory.State.FINISHED);
+        crashingPrompts().onAnswered(mPromptParts);
         attempt.end();
         mFinished = Optional.of(finished);
         emitReady();
@@ -429,13 +444,4 @@
             ModelExchange.this.onEnd(attempt, end);
         }
     }
-
-    /** Replaces the sink of a caller that disconnected. */
-    private static final class DiscardingSink implements AnswerSink {
-        @Override
-        public void onToken(int index, String text) {}
-
-        @Override
-        public void onOutcome(Outcome outcome) {}
-    }
 }
--- a/core/src/main/java/org/amaranthpick/core/request/RequestRouter.java
+++ b/core/src/main/java/org/amaranthpick/core/request/RequestRouter.java
@@ -14,6 +14,7 @@
 public final class RequestRouter implements Router {
     private final RouterDependencies mDependencies;
     private final RequestSettings mSettings;
+    private final CrashingPrompts mCrashingPrompts;
     private final FrameCounters mFrames = new FrameCounters();
     private final Set<Exchange> mInProgress = ConcurrentHashMap.newKeySet();
     private final AtomicInteger mSettlingClaims = new AtomicInteger();
@@ -30,6 +31,7 @@
     public RequestRouter(RouterDependencies dependencies, RequestSettings settings) {
         mDependencies = dependencies;
         mSettings = settings;
+        mCrashingPrompts = new CrashingPrompts(dependencies.scheduler());
     }
 
     @Override
@@ -145,6 +147,11 @@
             return mFrames;
         }
 
+        @Override
+        public CrashingPrompts crashingPrompts() {
+            return mCrashingPrompts;
+        }
+
         @Override
         public void onExchangeEnded(Exchange exchange) {
             mInProgress.remove(exchange);
