--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -1,6 +1,5 @@
 package org.amaranthpick.server.gateway;
 
-import com.google.common.flogger.FluentLogger;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.StatusCodes;
@@ -9,7 +8,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.amaranthpick.core.gateway.EventStreamSplitter;
 import org.amaranthpick.core.gateway.RetryBudget;
@@ -24,14 +22,9 @@
  * track of whether the request may have run.
  */
 final class ForwardedExchange implements StallDetector.Listener {
-    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-
     /** Most sends of a request, including those that upstreams refused. */
     private static final int MAX_SENDS = 4;
 
-    /** Time for which an engine must have been sending events to show that it does not crash. */
-    private static final Duration MIN_ANSWERING_TIME = Duration.ofMillis(500);
-
     /** Time reserved before the deadline for delivering the final response to the caller. */
     private static final Duration RESPONSE_MARGIN = Duration.ofMillis(20);
 
@@ -50,12 +43,13 @@
     private Optional<ForwardAttempt> mAttempt = Optional.empty();
     private Cancellable mDeadlineTimer = () -> {};
     private final StallDetector mStallDetector;
+    private final PromptCrashGuard mCrashGuard;
+    private final ExchangeLog mLog;
+    private final HealthRecorder mHealth;
     private int mSendCount;
     private int mRunCount;
     private boolean mMayHaveRun;
     private boolean mStreamStarted;
-    private OptionalLong mFirstEventNs = OptionalLong.empty();
-    private long mAnsweredNs;
     private boolean mEnded;
 
     /** Response of an upstream, kept while another upstream is tried. */
@@ -90,6 +84,9 @@
                         this::onCallerWritable);
         mEventSplitter = new EventStreamSplitter(request.metadata().lastEventId());
         mStallDetector = new StallDetector(request, context, this);
+        mCrashGuard = new PromptCrashGuard(request, context);
+        mLog = new ExchangeLog(request);
+        mHealth = new HealthRecorder(context, mLog);
     }
 
     void start() {
@@ -98,7 +95,7 @@
                 mContext.scheduler()
                         .schedule(remainingTime().minus(RESPONSE_MARGIN), this::onDeadline);
         mContext.retryBudgets().forService(mRequest.service().name()).onRequest(nowNs());
-        if (quarantineTimeLeft().isPresent()) {
+        if (mCrashGuard.quarantineTimeLeft().isPresent()) {
             fail(QUARANTINED);
         } else if (mContext.targetPolicy().admits(mRequest.service(), nowNs())) {
             tryNextUpstream("first");
@@ -108,7 +105,7 @@
     }
 
     private void tryNextUpstream(String reason) {
-        if (quarantineTimeLeft().isPresent()) {
+        if (mCrashGuard.quarantineTimeLeft().isPresent()) {
             fail(QUARANTINED + "; last cause: " + reason);
             return;
         }
@@ -123,7 +120,7 @@
 
     private void sendTo(Target target, String reason) {
         mSendCount++;
-        mFirstEventNs = OptionalLong.empty();
+        mCrashGuard.onAttempt();
         Duration remainingTime = remainingTime();
         UpstreamRequestMetadata metadata =
                 new UpstreamRequestMetadata(
@@ -133,7 +130,7 @@
                         mRequest.priority(),
                         mEventSplitter.lastId());
         mContext.metrics().onAttempt(mRequest.route().kind(), mSendCount > 1);
-        logRequest("attempt", reason + " " + describe(target));
+        logRequest("attempt", reason + " " + ExchangeLog.describe(target));
         ForwardAttempt attempt =
                 new ForwardAttempt(
                         this,
@@ -169,10 +166,10 @@
             return;
         }
         if (!mStallDetector.hasReceivedEvent()) {
-            recordSuccess(mAttempt.get().target());
+            mHealth.recordSuccess(mAttempt.get().target());
         }
         mStallDetector.onEvent();
-        recordProgress();
+        mCrashGuard.onEvent();
         if (!mResponseWriter.sendChunk(events)) {
             mAttempt.ifPresent(ForwardAttempt::pause);
         }
@@ -183,10 +180,8 @@
             onResponseLost(mAttempt.get(), "the stream ended in the middle of an event");
             return;
         }
-        recordSuccess(mAttempt.get().target());
-        if (mFirstEventNs.isPresent()) {
-            recordAnswered();
-        }
+        mHealth.recordSuccess(mAttempt.get().target());
+        mCrashGuard.onStreamEnd();
         end("answered", "stream complete");
         mResponseWriter.finish();
     }
@@ -207,35 +202,19 @@
             return;
         }
         if (success) {
-            recordSuccess(attempt.target());
-            recordAnswered();
+            mHealth.recordSuccess(attempt.target());
+            mCrashGuard.onAnswered();
         }
         deliver(mLastResponse.get(), "status " + status);
     }
 
-    /** Records at intervals that the engine keeps sending events. */
-    private void recordProgress() {
-        long nowNs = nowNs();
-        if (mFirstEventNs.isEmpty()) {
-            mFirstEventNs = OptionalLong.of(nowNs);
-            mAnsweredNs = nowNs;
-        } else if (nowNs - mAnsweredNs >= MIN_ANSWERING_TIME.toNanos()) {
-            mAnsweredNs = nowNs;
-            recordAnswered();
-        }
-    }
-
-    private void recordAnswered() {
-        mContext.quarantine().onAnswered(mRequest.metadata().sharedPromptParts(), nowNs());
-    }
-
     private void deliver(BufferedResponse response, String detail) {
         end("answered", detail);
         mResponseWriter.sendComplete(response.status(), response.headers(), response.body());
     }
 
     void onNotSent(ForwardAttempt attempt, String reason) {
-        recordUnreachable(attempt.target().upstream(), reason);
+        mHealth.recordUnreachable(attempt.target().upstream(), reason);
         mExcludedUpstreams.add(attempt.target().upstream().id());
         if (mSendCount < MAX_SENDS) {
             tryNextUpstream(reason);
@@ -252,7 +231,7 @@
                         .flatMap(address -> mContext.register().findByAddress(address));
         UpstreamEntry failed = faulty.orElse(attempt.target().upstream());
         if (notRun.misdirected()) {
-            recordFailure(failed, reason);
+            mHealth.recordFailure(failed, reason);
         } else if (attempt.target().chain().isPresent()) {
             mContext.health().onBusy(failed.id(), nowNs());
         }
@@ -261,15 +240,13 @@
     }
 
     void onResponseLost(ForwardAttempt attempt, String reason) {
-        logLoss(attempt, reason);
-        if (attempt.sent() && attempt.target().chain().isPresent() && !isAnswering()) {
-            mContext.crashes()
-                    .onResponseLost(
-                            attempt.target().upstream(), mRequest.metadata().sharedPromptParts());
-        }
+        mContext.metrics().onLoss(mRequest.route().kind(), mStallDetector.hasReceivedEvent());
+        mLog.logLoss(
+                attempt.target().upstream(), mStallDetector.hasReceivedEvent(), elapsed(), reason);
+        mCrashGuard.onLost(attempt);
         recordRun(attempt);
         if (!mStreamStarted || attempt.target().chain().isEmpty()) {
-            recordFailure(attempt.target().upstream(), reason);
+            mHealth.recordFailure(attempt.target().upstream(), reason);
         }
         mExcludedUpstreams.addAll(attempt.target().upstreamIds());
         if (acquireRetry(mRunCount)) {
@@ -279,22 +256,12 @@
         }
     }
 
-    /** Returns whether the current attempt has been answered for long. */
-    private boolean isAnswering() {
-        return mFirstEventNs.isPresent()
-                && nowNs() - mFirstEventNs.getAsLong() >= MIN_ANSWERING_TIME.toNanos();
-    }
-
-    private Optional<Duration> quarantineTimeLeft() {
-        return mContext.quarantine().timeLeft(mRequest.metadata().sharedPromptParts(), nowNs());
-    }
-
     /**
      * Ends a request whose prompt has been quarantined since it was sent, before the engine begins
      * to run it. One that is being answered is not at fault.
      */
     void onQuarantine() {
-        if (!mEnded && !mStreamStarted && quarantineTimeLeft().isPresent()) {
+        if (!mEnded && !mStreamStarted && mCrashGuard.quarantineTimeLeft().isPresent()) {
             mAttempt.ifPresent(
                     attempt -> {
                         mMayHaveRun |= attempt.sent();
@@ -367,7 +334,7 @@
     @Override
     public void onStalled(
             ForwardAttempt attempt, List<UpstreamEntry> stalledEngines, String reason) {
-        stalledEngines.forEach(engine -> recordUnreachable(engine, reason));
+        stalledEngines.forEach(engine -> mHealth.recordUnreachable(engine, reason));
         stalledEngines.forEach(engine -> mExcludedUpstreams.add(engine.id()));
         failOver(attempt, reason);
         stalledEngines.forEach(engine -> mListener.onEngineUnresponsive(engine.id(), reason));
@@ -436,10 +403,12 @@
             boolean timedOut = remainingTime().compareTo(RESPONSE_MARGIN.multipliedBy(2)) < 0;
             end(timedOut ? "timeout" : "interrupted", reason);
             mResponses.sendInterrupted(mExchange, mRequest.metadata().requestId(), timedOut);
-        } else if (quarantineTimeLeft().isPresent()) {
+        } else if (mCrashGuard.quarantineTimeLeft().isPresent()) {
             end("refused", reason);
             mResponses.sendQuarantined(
-                    mExchange, mRequest.metadata().requestId(), quarantineTimeLeft().get());
+                    mExchange,
+                    mRequest.metadata().requestId(),
+                    mCrashGuard.quarantineTimeLeft().get());
         } else {
             end("refused", reason);
             Optional<Duration> drainTime =
@@ -459,58 +428,10 @@
         mListener.onEnded(this);
     }
 
-    // Upstream health and logging.
-
-    private void recordFailure(UpstreamEntry upstream, String reason) {
-        logHealth(upstream, reason);
-        mContext.health().onFailure(upstream.id(), nowNs());
-    }
-
-    private void recordUnreachable(UpstreamEntry upstream, String reason) {
-        logHealth(upstream, reason);
-        mContext.health().onUnreachable(upstream.id(), nowNs());
-    }
-
-    private void logHealth(UpstreamEntry upstream, String reason) {
-        sLogger.atInfo().log(
-                "health: upstream=%s address=%s reason=\"%s\" request=%s",
-                upstream.id(), upstream.address(), reason, mRequest.metadata().requestId());
-    }
-
-    /** Logs what the request was doing at the upstream, and what others may share with it. */
-    private void logLoss(ForwardAttempt attempt, String reason) {
-        mContext.metrics().onLoss(mRequest.route().kind(), mStallDetector.hasReceivedEvent());
-        sLogger.atInfo().log(
-                "lost: upstream=%s address=%s request=%s route=%s events=%b elapsed_ms=%d"
-                        + " parts=%s reason=\"%s\"",
-                attempt.target().upstream().id(),
-                attempt.target().upstream().address(),
-                mRequest.metadata().requestId(),
-                mRequest.route().name(),
-                mStallDetector.hasReceivedEvent(),
-                elapsed().toMillis(),
-                mRequest.metadata().sharedPromptParts(),
-                reason);
-    }
-
-    private void recordSuccess(Target target) {
-        target.upstreamIds().forEach(id -> mContext.health().onSuccess(id, nowNs()));
-    }
-
-    private static String describe(Target target) {
-        return target.chain().map(Object::toString).orElse(target.upstream().address());
-    }
+    // Logging.
 
     private void logRequest(String outcome, String detail) {
-        sLogger.atInfo().log(
-                "request: id=%s outcome=%s route=%s config=%d sends=%d elapsed_ms=%d detail=\"%s\"",
-                mRequest.metadata().requestId(),
-                outcome,
-                mRequest.route().name(),
-                mRequest.configVersion(),
-                mSendCount,
-                elapsed().toMillis(),
-                detail);
+        mLog.logRequest(outcome, mSendCount, elapsed(), detail);
     }
 
     private long nowNs() {
