--- a/core/src/main/java/org/amaranthpick/core/quarantine/QuarantineGossip.java
+++ b/core/src/main/java/org/amaranthpick/core/quarantine/QuarantineGossip.java
@@ -11,10 +11,10 @@
 
 /**
  * Spreads the quarantine of prompts among the daemons. What is news to a daemon, it passes on to a
- * few random others at once; a report that its own answers contradict, it corrects. While parts are
- * in quarantine, each daemon also sends them to a random other one at intervals, which reaches
- * daemons that were cut off or missed by chance; a daemon that starts asks for them. Confined to
- * one thread.
+ * few random others at once. If its own answers contradict a report, it sends the sender its own.
+ * While parts are in quarantine, each daemon also sends them to a random other one at intervals,
+ * which reaches daemons that were cut off or missed by chance; a daemon that starts asks for them.
+ * Confined to one thread.
  */
 public final class QuarantineGossip {
     /** Number of daemons that news is passed on to. */
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -176,10 +176,8 @@
         mPeerConnector = createPeerConnector(worker, scheduler);
         mHealthLink =
                 new PeerMessageLink<>(mPeerConnector, HEALTH_NOTES_PATH, new TypeReference<>() {});
-        HealthGossip healthGossip = createHealthGossip(register, health);
         RequestRateLimits rateLimits = createRateLimits(register);
-        healthGossip.observe(rateLimits);
-        mHealthLink.setReceiver(notes -> healthGossip.onNotes(List.of(notes)));
+        connectHealthGossip(register, health, rateLimits);
         PromptQuarantine quarantine = new PromptQuarantine();
         mQuarantineLink =
                 new PeerMessageLink<>(mPeerConnector, QUARANTINE_PATH, new TypeReference<>() {});
@@ -205,15 +203,19 @@
                         PEER_IDLE_TIMEOUT));
     }
 
-    private HealthGossip createHealthGossip(UpstreamRegister register, UpstreamHealth health) {
-        return new HealthGossip(
-                mSettings.host(),
-                health,
-                register::size,
-                mDaemonCounter::peers,
-                (peer, notes) -> mHealthLink.send(peer, notes.toArray(HealthNote[]::new)),
-                mScheduler,
-                mRandom);
+    private void connectHealthGossip(
+            UpstreamRegister register, UpstreamHealth health, RequestRateLimits rateLimits) {
+        HealthGossip gossip =
+                new HealthGossip(
+                        mSettings.host(),
+                        health,
+                        register::size,
+                        mDaemonCounter::peers,
+                        (peer, notes) -> mHealthLink.send(peer, notes.toArray(HealthNote[]::new)),
+                        mScheduler,
+                        mRandom);
+        gossip.observe(rateLimits);
+        mHealthLink.setReceiver(notes -> gossip.onNotes(List.of(notes)));
     }
 
     private RequestRateLimits createRateLimits(UpstreamRegister register) {
