--- a/core/src/test/java/org/amaranthpick/core/quarantine/CrashingPromptFleetTest.java
+++ b/core/src/test/java/org/amaranthpick/core/quarantine/CrashingPromptFleetTest.java
@@ -161,6 +161,21 @@
         assertEquals(0, falsely, "daemons refuse what sound requests have in common");
     }
 
+    /** A part of sound requests that is quarantined by chance must be released again. */
+    @ParameterizedTest
+    @CsvSource({"12,0", "12,1", "12,4", "100,0", "100,1", "100,33", "440,0", "440,1", "440,147"})
+    void noDaemonKeepsAPartOfSoundRequestsInQuarantine(int daemons, int cutOff) {
+        createDaemons(daemons, cutOff);
+        play(DAY);
+        List<String> soundParts = new ArrayList<>(List.of("first"));
+        IntStream.range(0, SOUND_PARTS).forEach(i -> soundParts.add("sound" + i));
+        long falsely =
+                mQuarantines.stream()
+                        .filter(q -> q.timeLeft(soundParts, mScheduler.monotonicNs()).isPresent())
+                        .count();
+        assertEquals(0, falsely, "daemons hold sound parts in quarantine at the end");
+    }
+
     /** A daemon that was killed has forgotten what it knew, and asks the others. */
     @ParameterizedTest
     @CsvSource({"12", "100", "440"})
