Metrics: count connections to upstreams that failed, and responses

Two counters tell a host whose own paths are cut (failures and no response) from engines that are lost or full (failures beside responses). No logic is changed.

--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
@@ -100,6 +100,7 @@
         if (mEnded) {
             return;
         }
+        mContext.metrics().onPathAnswered();
         mStatus = status;
         mHeaders = headers;
         UpstreamVerdict verdict =
@@ -155,6 +156,7 @@
         end();
         if (callEnd instanceof CallEnd.NotSent unsent) {
             mSent = false;
+            mContext.metrics().onPathFailed();
             mExchange.onNotSent(this, unsent.reason());
         } else if (mVerdict.isPresent()
                 && mVerdict.get() instanceof UpstreamVerdict.NotRun notRun) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -41,6 +41,16 @@
                             "Sends whose response was lost, by kind of route and whether it had begun")
                     .labelNames("kind", "begun")
                     .register(mRegistry);
+    private final Counter mPathFailureCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_direct_paths_failed_total")
+                    .help("Connections to upstreams that failed before a request was sent")
+                    .register(mRegistry);
+    private final Counter mPathAnswerCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_direct_paths_answered_total")
+                    .help("Responses of upstreams over direct connections")
+                    .register(mRegistry);
     private final Histogram mResponseTime =
             histogram("answer_seconds", "Time to the end of the answer, by kind and outcome")
                     .labelNames("kind", "outcome")
@@ -72,6 +82,14 @@
         mLossCount.labelValues(label(kind), Boolean.toString(begun)).inc();
     }
 
+    void onPathFailed() {
+        mPathFailureCount.inc();
+    }
+
+    void onPathAnswered() {
+        mPathAnswerCount.inc();
+    }
+
     void onFirstEvent(Duration elapsed) {
         mFirstEventTime.observe(seconds(elapsed));
     }
