--- a/core/src/main/java/org/amaranthpick/core/quarantine/PartReport.java
+++ b/core/src/main/java/org/amaranthpick/core/quarantine/PartReport.java
@@ -1,8 +1,11 @@
 package org.amaranthpick.core.quarantine;
 
+import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * What a daemon knows of a part of prompts, or of a whole request, on its way to other daemons.
@@ -24,4 +27,23 @@
         crashAgesMs = Map.copyOf(crashAgesMs);
         sharedParts = sharedParts == null ? List.of() : List.copyOf(sharedParts);
     }
+
+    /** Creates the report of a part that crashes are held against, or that was answered. */
+    static PartReport of(String part, Optional<Suspect> suspect, Long answeredNs, long nowNs) {
+        Map<String, Long> ages = new HashMap<>();
+        suspect.ifPresent(
+                known -> {
+                    known.crashedNs().forEach((id, atNs) -> ages.put(id, ageMs(atNs, nowNs)));
+                    known.explainedNs().forEach((id, atNs) -> ages.put(id, ageMs(atNs, nowNs)));
+                });
+        return new PartReport(
+                part,
+                ages,
+                answeredNs == null ? -1 : ageMs(answeredNs, nowNs),
+                suspect.map(known -> List.copyOf(known.sharedParts())).orElse(List.of()));
+    }
+
+    private static long ageMs(long sinceNs, long nowNs) {
+        return Math.max(0, Duration.ofNanos(nowNs - sinceNs).toMillis());
+    }
 }
--- a/core/src/main/java/org/amaranthpick/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/amaranthpick/core/quarantine/PromptQuarantine.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -300,22 +299,7 @@
      * @return report
      */
     public PartReport report(String part, long nowNs) {
-        Map<String, Long> ages = new HashMap<>();
-        Suspect suspect = suspectsLike(part).get(part);
-        if (suspect != null) {
-            suspect.crashedNs().forEach((id, crashedNs) -> ages.put(id, ageMs(crashedNs, nowNs)));
-            suspect.explainedNs().forEach((id, atNs) -> ages.put(id, ageMs(atNs, nowNs)));
-        }
-        Long answeredNs = mAnsweredNs.get(part);
-        return new PartReport(
-                part,
-                ages,
-                answeredNs == null ? -1 : ageMs(answeredNs, nowNs),
-                suspect == null ? List.of() : List.copyOf(suspect.sharedParts()));
-    }
-
-    private static long ageMs(long sinceNs, long nowNs) {
-        return Math.max(0, Duration.ofNanos(nowNs - sinceNs).toMillis());
+        return PartReport.of(part, suspect(part), mAnsweredNs.get(part), nowNs);
     }
 
     private boolean addCrash(
@@ -374,7 +358,7 @@
         Map<String, Suspect> suspects = suspectsLike(part);
         int maxSuspects = isRequest(part) ? MAX_REQUEST_SUSPECTS : MAX_SUSPECTS;
         if (!suspects.containsKey(part) && suspects.size() >= maxSuspects) {
-            Optional<String> removed = findLeastSuspect(suspects);
+            Optional<String> removed = Suspect.findLeast(suspects, mQuarantined);
             if (removed.isEmpty()) {
                 return Optional.empty();
             }
@@ -383,20 +367,6 @@
         return Optional.of(suspects.computeIfAbsent(part, key -> new Suspect()));
     }
 
-    /** Finds the eldest part with one crash, else the eldest one that is not in quarantine. */
-    private Optional<String> findLeastSuspect(Map<String, Suspect> suspects) {
-        return suspects.entrySet().stream()
-                .filter(entry -> entry.getValue().crashedNs().size() <= 1)
-                .map(Map.Entry::getKey)
-                .filter(other -> !mQuarantined.contains(other))
-                .findFirst()
-                .or(
-                        () ->
-                                suspects.keySet().stream()
-                                        .filter(other -> !mQuarantined.contains(other))
-                                        .findFirst());
-    }
-
     /**
      * Clears parts of prompts of the crashes under a part in quarantine: all others if it is a
      * request, since that is more specific, else those that are not in quarantine themselves.
--- a/core/src/main/java/org/amaranthpick/core/quarantine/Suspect.java
+++ b/core/src/main/java/org/amaranthpick/core/quarantine/Suspect.java
@@ -28,6 +28,20 @@
         this(new LinkedHashMap<>(), new LinkedHashMap<>(), new LinkedHashSet<>());
     }
 
+    /** Finds the eldest part with one crash, else the eldest one that is not in quarantine. */
+    static Optional<String> findLeast(Map<String, Suspect> suspects, Set<String> quarantined) {
+        return suspects.entrySet().stream()
+                .filter(entry -> entry.getValue().crashedNs().size() <= 1)
+                .map(Map.Entry::getKey)
+                .filter(other -> !quarantined.contains(other))
+                .findFirst()
+                .or(
+                        () ->
+                                suspects.keySet().stream()
+                                        .filter(other -> !quarantined.contains(other))
+                                        .findFirst());
+    }
+
     long lastCrashNs() {
         return Stream.of(crashedNs, explainedNs)
                 .flatMap(crashes -> crashes.values().stream())
