Gateway: reach upstreams through other daemons while own paths are broken

Cause: reachability belongs to a daemon and an upstream, and was held as a property of the upstream. A daemon whose own links are cut took the engines for lost, had nothing else to send to, accused sound engines before the fleet, and read the excluded chains as a loss of capacity. The class of fault: what one observer fails to see is recorded as a fault of what it looks at.

PartitionedHostTest, 4 of 4 cases failed: 0 of 30 served at the cut host; where connections are reset only 20 of 30 at the other one.

Change: a connection that fails before the request is sent is followed by a question to another daemon. If that reaches the upstream, the path is broken: the other daemon keeps the connection open and the request is sent over it, once, so 'not run' stays exact. If it does not, and reaches an upstream that answered lately, the upstream is at fault and the fleet is told. If nobody can tell, nothing is held against the upstream. Two broken paths with no answer in between are a partition: further requests go to other daemons at once, until a probe, which carries no request, gets through. With no daemon left that relays, requests are refused at once with the time to come back. Losses on broken paths are neither failures of the upstream nor crashes.

Why it works: the two failures differ in what others see at that moment, and the question costs nothing while connections succeed.

Figures: PartitionedHostTest 4 of 4, RelayedRequestTest 19 of 19.

--- a/core/src/main/java/org/amaranthpick/core/layers/EngineReport.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/EngineReport.java
@@ -32,8 +32,18 @@
     /**
      * The engine did not answer.
      *
-     * @param reason cause
-     * @param unreachable whether no connection could be made
+     * @param reason what was seen
+     * @param cause why it did not
      */
-    record Absent(String reason, boolean unreachable) implements EngineReport {}
+    record Absent(String reason, Cause cause) implements EngineReport {
+        /** Why an engine did not answer. */
+        public enum Cause {
+            /** A connection was made, and no report came over it. */
+            NO_REPORT,
+            /** No connection could be made. */
+            UNREACHABLE,
+            /** No connection could be made, which may be due to the paths of this daemon. */
+            NO_PATH
+        }
+    }
 }
--- a/core/src/main/java/org/amaranthpick/core/register/UpstreamHealth.java
+++ b/core/src/main/java/org/amaranthpick/core/register/UpstreamHealth.java
@@ -90,6 +90,35 @@
         }
     }
 
+    /**
+     * Records that neither this nor another daemon reaches the upstream. Others are told even if it
+     * is excluded here already.
+     *
+     * @param id id of the upstream
+     * @param nowNs monotonic time
+     */
+    public void onConfirmedUnreachable(String id, long nowNs) {
+        exclude(mFailing, id, FIRST_EXCLUSION, nowNs);
+        mListener.onObservation(id, HealthNote.Kind.UNREACHABLE);
+    }
+
+    /**
+     * Records that another daemon reaches an upstream that this one does not reach.
+     *
+     * @param id id of the upstream
+     */
+    public void onReachable(String id) {
+        if (mFailing.remove(id) != null) {
+            mVersion++;
+        }
+    }
+
+    /** Forgets the failures that this daemon observed, since its own paths were at fault. */
+    public void forgetFailures() {
+        mFailing.clear();
+        mVersion++;
+    }
+
     /**
      * Records what another daemon observed. It excludes the upstream like an own observation, but
      * the upstream does not count as failing.
--- a/core/src/main/java/org/amaranthpick/core/register/UpstreamRegister.java
+++ b/core/src/main/java/org/amaranthpick/core/register/UpstreamRegister.java
@@ -196,6 +196,18 @@
         return Optional.ofNullable(mEntries.get(id));
     }
 
+    /**
+     * Returns the ids of all upstreams that are not leaving.
+     *
+     * @return ids
+     */
+    public List<String> ids() {
+        return mEntries.values().stream()
+                .filter(entry -> !entry.leaving())
+                .map(UpstreamEntry::id)
+                .toList();
+    }
+
     /**
      * Returns the number of registered upstreams of all services.
      *
--- a/server/src/main/java/org/amaranthpick/server/gateway/CrashDetector.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/CrashDetector.java
@@ -53,10 +53,18 @@
 
     private void onReport(UpstreamEntry engine, EngineReport report) {
         Set<List<String>> lost = mQueried.remove(engine.id());
-        boolean reports = engine.card().isPresent();
-        if (report instanceof EngineReport.Absent absent && (reports || absent.unreachable())) {
+        if (report instanceof EngineReport.Absent absent && hasCrashed(engine, absent)) {
             long nowNs = mScheduler.monotonicNs();
             lost.forEach(parts -> mQuarantine.onCrash(engine.id(), parts, nowNs));
         }
     }
+
+    private static boolean hasCrashed(UpstreamEntry upstream, EngineReport.Absent absent) {
+        boolean reports = upstream.card().isPresent();
+        return switch (absent.cause()) {
+            case NO_REPORT -> reports;
+            case UNREACHABLE -> true;
+            case NO_PATH -> false;
+        };
+    }
 }
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
@@ -11,7 +11,6 @@
 import org.amaranthpick.core.gateway.Target;
 import org.amaranthpick.core.gateway.UpstreamVerdict;
 import org.amaranthpick.server.http.CallEnd;
-import org.amaranthpick.server.http.OutgoingCall;
 import org.amaranthpick.server.http.OutgoingRequest;
 import org.amaranthpick.server.http.ResponseListener;
 
@@ -24,7 +23,7 @@
     private final ForwardedRequest mRequest;
     private final GatewayContext mContext;
     private final Target mTarget;
-    private final OutgoingCall mCall;
+    private final UpstreamCall mCall;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private Optional<UpstreamVerdict> mVerdict = Optional.empty();
     private HeaderMap mHeaders = new HeaderMap();
@@ -45,8 +44,9 @@
         mContext = context;
         mTarget = target;
         mCall =
-                context.connector()
+                context.upstreams()
                         .prepare(
+                                target.upstream(),
                                 new OutgoingRequest(
                                         URI.create("http://" + target.upstream().address()),
                                         request.method(),
@@ -73,6 +73,11 @@
         return mSent;
     }
 
+    /** Returns the daemon that the attempt goes through, empty on the direct path. */
+    Optional<String> relay() {
+        return mCall.relay();
+    }
+
     void pause() {
         mCall.pause();
     }
@@ -100,7 +105,6 @@
         if (mEnded) {
             return;
         }
-        mContext.metrics().onPathAnswered();
         mStatus = status;
         mHeaders = headers;
         UpstreamVerdict verdict =
@@ -156,8 +160,7 @@
         end();
         if (callEnd instanceof CallEnd.NotSent unsent) {
             mSent = false;
-            mContext.metrics().onPathFailed();
-            mExchange.onNotSent(this, unsent.reason());
+            mExchange.onNotSent(this, unsent);
         } else if (mVerdict.isPresent()
                 && mVerdict.get() instanceof UpstreamVerdict.NotRun notRun) {
             mExchange.onNotRun(this, mStatus, notRun);
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -10,11 +10,12 @@
 import java.util.Optional;
 import java.util.Set;
 import org.amaranthpick.core.gateway.EventStreamSplitter;
-import org.amaranthpick.core.gateway.RetryBudget;
 import org.amaranthpick.core.gateway.Target;
 import org.amaranthpick.core.gateway.UpstreamVerdict;
+import org.amaranthpick.core.reach.PathFault;
 import org.amaranthpick.core.register.UpstreamEntry;
 import org.amaranthpick.core.time.Cancellable;
+import org.amaranthpick.server.http.CallEnd;
 
 /**
  * Forwards a request until the caller has its final response. Sends it to one upstream after
@@ -22,15 +23,17 @@
  * track of whether the request may have run.
  */
 final class ForwardedExchange implements StallDetector.Listener {
-    /** Most sends of a request, including those that upstreams refused. */
-    private static final int MAX_SENDS = 4;
-
     /** Time reserved before the deadline for delivering the final response to the caller. */
     private static final Duration RESPONSE_MARGIN = Duration.ofMillis(20);
 
     private static final String QUARANTINED =
             "the request or a part of its prompt crashes upstreams";
 
+    private static final String NO_PATH = "no path to the upstreams";
+
+    /** Time after which callers of a host without a path return; other hosts may have one. */
+    private static final Duration NO_PATH_RETRY_TIME = Duration.ofMillis(250);
+
     private final HttpServerExchange mExchange;
     private final ForwardedRequest mRequest;
     private final GatewayContext mContext;
@@ -47,9 +50,7 @@
     private final PromptCrashGuard mCrashGuard;
     private final ExchangeLog mLog;
     private final HealthRecorder mHealth;
-    private int mSendCount;
-    private int mRunCount;
-    private boolean mMayHaveRun;
+    private final SendHistory mSends;
     private boolean mStreamStarted;
     private boolean mEnded;
 
@@ -86,6 +87,7 @@
         mEventSplitter = new EventStreamSplitter(request.metadata().lastEventId());
         mStallDetector = new StallDetector(request, context, this);
         mCrashGuard = new PromptCrashGuard(request, context);
+        mSends = new SendHistory(request, context, mCrashGuard);
         mLog = new ExchangeLog(request);
         mHealth = new HealthRecorder(context, mLog);
     }
@@ -98,6 +100,8 @@
         mContext.retryBudgets().forService(mRequest.service().name()).onRequest(nowNs());
         if (!mCrashGuard.admits()) {
             fail(QUARANTINED);
+        } else if (mContext.upstreams().isIsolated()) {
+            fail(NO_PATH);
         } else if (mContext.targetPolicy().admits(mRequest.service(), nowNs())) {
             tryNextUpstream("first");
         } else {
@@ -120,7 +124,7 @@
     }
 
     private void sendTo(Target target, String reason) {
-        mSendCount++;
+        mSends.onSend();
         mCrashGuard.onAttempt();
         Duration remainingTime = remainingTime();
         UpstreamRequestMetadata metadata =
@@ -130,7 +134,7 @@
                         mRequest.workspace(),
                         mRequest.priority(),
                         mEventSplitter.lastId());
-        mContext.metrics().onAttempt(mRequest.route().kind(), mSendCount > 1);
+        mContext.metrics().onAttempt(mRequest.route().kind(), mSends.sendCount() > 1);
         logRequest("attempt", reason + " " + ExchangeLog.describe(target));
         ForwardAttempt attempt =
                 new ForwardAttempt(
@@ -189,8 +193,7 @@
 
     void onResponse(
             ForwardAttempt attempt, boolean success, int status, HeaderMap headers, byte[] body) {
-        mMayHaveRun = true;
-        mRunCount++;
+        mSends.onRun();
         boolean serverError = status >= StatusCodes.INTERNAL_SERVER_ERROR;
         if (mStreamStarted) {
             onResponseLost(attempt, "the stream cannot be resumed, status " + status);
@@ -198,7 +201,7 @@
         }
         mExcludedUpstreams.add(attempt.target().upstream().id());
         mLastResponse = Optional.of(new BufferedResponse(status, headers, body));
-        if (!success && serverError && acquireRetry(mRunCount)) {
+        if (!success && serverError && mSends.acquireRetry(retryTime())) {
             tryNextUpstream("status " + status);
             return;
         }
@@ -214,13 +217,20 @@
         mResponseWriter.sendComplete(response.status(), response.headers(), response.body());
     }
 
-    void onNotSent(ForwardAttempt attempt, String reason) {
-        mHealth.recordUnreachable(attempt.target().upstream(), reason);
-        mExcludedUpstreams.add(attempt.target().upstream().id());
-        if (mSendCount < MAX_SENDS) {
-            tryNextUpstream(reason);
+    void onNotSent(ForwardAttempt attempt, CallEnd.NotSent end) {
+        UpstreamEntry upstream = attempt.target().upstream();
+        if (end.fault() == PathFault.UPSTREAM) {
+            mHealth.recordUnreachable(upstream, end.reason());
+        } else if (end.fault() == PathFault.UNCONFIRMED) {
+            mHealth.recordFailure(upstream, end.reason());
+        }
+        mExcludedUpstreams.add(upstream.id());
+        if (mContext.upstreams().isIsolated()) {
+            fail(NO_PATH);
+        } else if (mSends.admitsFurtherSend()) {
+            tryNextUpstream(end.reason());
         } else {
-            fail(reason);
+            fail(end.reason());
         }
     }
 
@@ -245,12 +255,12 @@
         mLog.logLoss(
                 attempt.target().upstream(), mStallDetector.hasReceivedEvent(), elapsed(), reason);
         mCrashGuard.onLost(attempt);
-        recordRun(attempt);
+        mSends.onBrokenOff(attempt, mStallDetector.hasReceivedEvent());
         if (!mStreamStarted || attempt.target().chain().isEmpty()) {
             mHealth.recordFailure(attempt.target().upstream(), reason);
         }
         mExcludedUpstreams.addAll(attempt.target().upstreamIds());
-        if (acquireRetry(mRunCount)) {
+        if (mSends.acquireRetry(retryTime())) {
             tryNextUpstream(reason);
         } else {
             fail(reason);
@@ -265,55 +275,23 @@
         if (!mEnded && !mStreamStarted && mCrashGuard.quarantineTimeLeft().isPresent()) {
             mAttempt.ifPresent(
                     attempt -> {
-                        mMayHaveRun |= attempt.sent();
+                        mSends.onCancelled(attempt);
                         attempt.cancel();
                     });
             fail(QUARANTINED);
         }
     }
 
-    private void recordRun(ForwardAttempt attempt) {
-        mMayHaveRun |= attempt.sent();
-        if (countsAsRun(attempt)) {
-            mRunCount++;
-        }
-    }
-
-    /**
-     * Returns whether an attempt counts as a run. A chain runs a request once it has sent an event;
-     * a plain service may run it as soon as a byte was sent.
-     */
-    private boolean countsAsRun(ForwardAttempt attempt) {
-        return attempt.sent()
-                && (attempt.target().chain().isEmpty() || mStallDetector.hasReceivedEvent());
-    }
-
     /** Retries a request that reached an upstream and was not run there. */
     private void retryNotRun(ForwardAttempt attempt, String reason) {
         mExcludedUpstreams.add(attempt.target().upstream().id());
-        if (mSendCount < MAX_SENDS && retryBudget().tryAcquire(nowNs())) {
+        if (mSends.acquireRetryNotRun()) {
             tryNextUpstream(reason);
         } else {
             fail(reason);
         }
     }
 
-    /**
-     * Acquires a retry from the budget if the route, the send limit and the time left allow one.
-     */
-    private boolean acquireRetry(int runs) {
-        return mRequest.route().retryable()
-                && mCrashGuard.admitsRetry()
-                && runs < mRequest.route().maxAttempts()
-                && mSendCount < MAX_SENDS
-                && remainingTime().compareTo(RESPONSE_MARGIN) > 0
-                && retryBudget().tryAcquire(nowNs());
-    }
-
-    private RetryBudget retryBudget() {
-        return mContext.retryBudgets().forService(mRequest.service().name());
-    }
-
     // Stalled attempts.
 
     /**
@@ -333,6 +311,17 @@
         }
     }
 
+    /** Fails over if the stream is silent on a direct path. */
+    void onPartitioned() {
+        boolean affected =
+                !mEnded
+                        && mRequest.route().retryable()
+                        && mAttempt.filter(attempt -> attempt.relay().isEmpty()).isPresent();
+        if (affected && mStallDetector.exceedsUsualPause()) {
+            failOver(mAttempt.get(), "all direct paths are broken");
+        }
+    }
+
     @Override
     public void onStalled(
             ForwardAttempt attempt, List<UpstreamEntry> stalledEngines, String reason) {
@@ -357,11 +346,12 @@
             mStallDetector.backOff();
             return;
         }
-        if (!acquireRetry(mRunCount + (countsAsRun(attempt) ? 1 : 0))) {
+        if (!mSends.acquireRetryInsteadOf(
+                attempt, mStallDetector.hasReceivedEvent(), retryTime())) {
             mStallDetector.backOff();
             return;
         }
-        recordRun(attempt);
+        mSends.onBrokenOff(attempt, mStallDetector.hasReceivedEvent());
         attempt.cancel();
         mExcludedUpstreams.addAll(excluded);
         sendTo(next.get(), "stalled, " + reason);
@@ -373,7 +363,7 @@
         if (!mEnded) {
             mAttempt.ifPresent(
                     attempt -> {
-                        mMayHaveRun |= attempt.sent();
+                        mSends.onCancelled(attempt);
                         attempt.cancel();
                     });
             fail("deadline exceeded");
@@ -401,7 +391,7 @@
             mResponseWriter.abort();
         } else if (mLastResponse.isPresent()) {
             deliver(mLastResponse.get(), "status " + mLastResponse.get().status() + ", " + reason);
-        } else if (mMayHaveRun) {
+        } else if (mSends.mayHaveRun()) {
             boolean timedOut = remainingTime().compareTo(RESPONSE_MARGIN.multipliedBy(2)) < 0;
             end(timedOut ? "timeout" : "interrupted", reason);
             mResponses.sendInterrupted(mExchange, mRequest.metadata().requestId(), timedOut);
@@ -414,7 +404,10 @@
         } else {
             end("refused", reason);
             Optional<Duration> drainTime =
-                    mContext.targetPolicy().expectedCapacityTime(mRequest.service(), nowNs());
+                    mContext.upstreams().isIsolated()
+                            ? Optional.of(NO_PATH_RETRY_TIME)
+                            : mContext.targetPolicy()
+                                    .expectedCapacityTime(mRequest.service(), nowNs());
             mResponses.sendNotRun(
                     mExchange, mRequest.metadata().requestId(), remainingTime(), drainTime);
         }
@@ -433,7 +426,7 @@
     // Logging.
 
     private void logRequest(String outcome, String detail) {
-        mLog.logRequest(outcome, mSendCount, elapsed(), detail);
+        mLog.logRequest(outcome, mSends.sendCount(), elapsed(), detail);
     }
 
     private long nowNs() {
@@ -444,6 +437,11 @@
         return Duration.ofNanos(nowNs() - mRequest.receivedNs());
     }
 
+    /** Returns the time left for a retry. */
+    private Duration retryTime() {
+        return remainingTime().minus(RESPONSE_MARGIN);
+    }
+
     private Duration remainingTime() {
         return mRequest.timeLimit().minus(elapsed());
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -4,9 +4,8 @@
 import com.google.common.flogger.FluentLogger;
 import io.undertow.Handlers;
 import io.undertow.Undertow;
-import io.undertow.UndertowOptions;
-import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.PathHandler;
 import io.undertow.util.StatusCodes;
 import java.net.URI;
 import java.time.Duration;
@@ -14,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.amaranthpick.core.explain.DecisionLog;
 import org.amaranthpick.core.gateway.LeastLoadedTargetPolicy;
@@ -49,11 +49,7 @@
     /** Fraction of the fixed retry budget that all daemons together use. */
     private static final double RETRY_EXTRA_FRACTION = 0.7;
 
-    /** Connections to upstreams are not reused, so that no request gets the response of another. */
-    private static final Duration NO_REUSE = Duration.ZERO;
-
-    private static final int MAX_CONNECTIONS = 400;
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+    private static final Duration PEER_CONNECT_TIMEOUT = Duration.ofMillis(300);
 
     /** Connections to one other daemon; reports are small and rare. */
     private static final int MAX_PEER_CONNECTIONS = 2;
@@ -68,10 +64,6 @@
 
     private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(100);
 
-    /** Time after which an idle connection from a caller is closed. */
-    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
-
-    private static final Duration HEADER_TIMEOUT = Duration.ofSeconds(10);
     private static final String LEASE_NAME = "layers";
 
     /**
@@ -82,6 +74,7 @@
     private final GatewaySettings mSettings;
     private final GatewayMetrics mMetrics = new GatewayMetrics();
     private final XnioWorker mWorker;
+    private final GatewayListeners mListeners;
     private final IoThreadScheduler mScheduler;
     private final ConfigurationFollower mConfiguration;
     private final RegisterFollower mRegisterFollower;
@@ -90,8 +83,8 @@
     private final DaemonCounter mDaemonCounter;
     private final LeaseManager mLease;
     private final LayerPlacementController mLayerPlacement;
-    private final HttpConnector mConnector;
     private final HttpConnector mPeerConnector;
+    private final UpstreamReach mReach;
     private final PeerMessageLink<HealthNote[]> mHealthLink;
     private final PeerMessageLink<QuarantineMessage> mQuarantineLink;
     private final QuarantineGossip mQuarantineGossip;
@@ -118,7 +111,7 @@
      * @param pacing receives the number of daemons that watch the store
      * @param decoder decodes the objects in the store
      * @param dialect HTTP headers used by callers and upstreams
-     * @param engines sends orders and queries to engines
+     * @param engines creates the control of the engines, given what sends its queries
      * @param decisions log of lease decisions
      * @param random source of random choices and jitter
      */
@@ -130,12 +123,15 @@
             WatchPacing pacing,
             GatewayDecoder decoder,
             GatewayDialect dialect,
-            EngineControl engines,
+            Function<UpstreamSender, EngineControl> engines,
             DecisionLog decisions,
             RandomGenerator random) {
         mSettings = settings;
         mWorker = worker;
         mScheduler = scheduler;
+        mListeners = new GatewayListeners(worker);
+        mRandom = random;
+        mPacing = pacing;
         UpstreamRegister register = new UpstreamRegister();
         UpstreamHealth health = new UpstreamHealth();
         WriterTokens tokens = new WriterTokens(settings.host(), random.nextLong());
@@ -147,32 +143,26 @@
                 createStoreFollower(store, decoder.configurationPrefix(), random, mConfiguration);
         mRegisterStoreFollower =
                 createStoreFollower(store, decoder.registerPrefix(), random, mRegisterFollower);
-        mPacing = pacing;
-        mRandom = random;
         mLeaseRank = random.nextInt(CANDIDATE_RANKS);
         mLease =
                 new LeaseManager(
                         LEASE_NAME, leaseContext(store, tokens, decisions, random), this, () -> 0);
+        mPeerConnector = createPeerConnector(worker, scheduler);
+        mHealthLink =
+                new PeerMessageLink<>(mPeerConnector, HEALTH_NOTES_PATH, new TypeReference<>() {});
+        RequestRateLimits rateLimits = createRateLimits(register);
+        connectHealthGossip(register, health, rateLimits);
+        mReach = createReach(dialect, register, health, rateLimits);
+        EngineControl engineControl = engines.apply(mReach.connector());
         mLayerPlacement =
                 new LayerPlacementController(
                         mConfiguration::current,
                         register,
                         health,
-                        engines,
+                        engineControl,
                         mLease,
                         scheduler,
                         scheduler);
-        mConnector =
-                new HttpConnector(
-                        worker,
-                        scheduler,
-                        new ConnectorSettings(
-                                MAX_CONNECTIONS, MAX_CONNECTIONS, CONNECT_TIMEOUT, NO_REUSE));
-        mPeerConnector = createPeerConnector(worker, scheduler);
-        mHealthLink =
-                new PeerMessageLink<>(mPeerConnector, HEALTH_NOTES_PATH, new TypeReference<>() {});
-        RequestRateLimits rateLimits = createRateLimits(register);
-        connectHealthGossip(register, health, rateLimits);
         PromptQuarantine quarantine = new PromptQuarantine();
         mQuarantineLink =
                 new PeerMessageLink<>(mPeerConnector, QUARANTINE_PATH, new TypeReference<>() {});
@@ -181,11 +171,35 @@
         mQuarantineRecords = new QuarantineRecords(store, tokens, quarantine, scheduler, scheduler);
         mQuarantineGossip.setRecords(mQuarantineRecords);
         GatewayContext context =
-                createContext(register, health, rateLimits, dialect, engines, quarantine);
+                createContext(register, health, rateLimits, dialect, engineControl, quarantine);
         mHandler =
                 new GatewayHandler(
                         context, mConfiguration::current, new GatewayResponses(dialect, random));
         quarantine.setOnQuarantine(mHandler::onQuarantine);
+        mReach.paths()
+                .setOnPartitioned(
+                        () -> {
+                            health.forgetFailures();
+                            mHandler.onPartitioned();
+                        });
+    }
+
+    private UpstreamReach createReach(
+            GatewayDialect dialect,
+            UpstreamRegister register,
+            UpstreamHealth health,
+            RequestRateLimits rateLimits) {
+        return new UpstreamReach(
+                mWorker,
+                mScheduler,
+                dialect,
+                register,
+                health,
+                rateLimits,
+                mDaemonCounter,
+                mConfiguration::current,
+                mMetrics,
+                mRandom);
     }
 
     private DaemonCounter createDaemonCounter(
@@ -208,7 +222,7 @@
                 new ConnectorSettings(
                         MAX_PEER_CONNECTIONS,
                         MAX_PEER_CONNECTIONS,
-                        CONNECT_TIMEOUT,
+                        PEER_CONNECT_TIMEOUT,
                         PEER_IDLE_TIMEOUT));
     }
 
@@ -257,7 +271,8 @@
                 mSettings.host(),
                 mScheduler,
                 dialect,
-                mConnector,
+                mReach.connector(),
+                mReach.paths(),
                 register,
                 health,
                 rateLimits,
@@ -307,18 +322,23 @@
         mRegisterStoreFollower.start();
         mDaemonCounter.start(this::onDaemonCount);
         mQuarantineRecords.load();
-        mReadinessListener = startListener(mSettings.readinessAddress(), this::handleReadiness);
-        mCallerListener = startListener(mSettings.callerAddress(), mHandler);
-        mMetricsListener = startListener(mSettings.metricsAddress(), mMetrics::write);
+        mReadinessListener = mListeners.start(mSettings.readinessAddress(), this::handleReadiness);
+        mCallerListener = mListeners.start(mSettings.callerAddress(), mHandler);
+        mMetricsListener = mListeners.start(mSettings.metricsAddress(), mMetrics::write);
         mPeerListener =
-                mSettings.peerAddress().map(address -> startListener(address, peerHandler()));
+                mSettings
+                        .peerAddress()
+                        .map(
+                                address ->
+                                        mListeners.start(
+                                                address, mReach.handler(messageHandler())));
         mScheduler.schedule(Duration.ZERO, this::runControlStep);
         sLogger.atInfo().log(
                 "start: host=%s domain=%s callers=%s",
                 mSettings.host(), mSettings.domain(), mSettings.callerAddress());
     }
 
-    private HttpHandler peerHandler() {
+    private PathHandler messageHandler() {
         return Handlers.path()
                 .addExactPath(mHealthLink.path(), mHealthLink)
                 .addExactPath(mQuarantineLink.path(), mQuarantineLink);
@@ -335,6 +355,7 @@
                     sLogger.atInfo().log("stop: draining in_progress=%d", mHandler.inProgress());
                     mDraining = true;
                     mHandler.drain();
+                    mReach.drain();
                     mLease.release();
                     long startNs = mScheduler.monotonicNs();
                     mScheduler.schedule(
@@ -355,7 +376,8 @@
 
     private void checkDrained(long startNs, CountDownLatch done) {
         Duration elapsed = Duration.ofNanos(mScheduler.monotonicNs() - startNs);
-        if (mHandler.inProgress() == 0 || elapsed.compareTo(mSettings.shutdownGrace()) > 0) {
+        int inProgress = mHandler.inProgress() + mReach.relayed();
+        if (inProgress == 0 || elapsed.compareTo(mSettings.shutdownGrace()) > 0) {
             done.countDown();
         } else {
             mScheduler.schedule(DRAIN_CHECK_PERIOD, () -> checkDrained(startNs, done));
@@ -388,6 +410,7 @@
             return;
         }
         boolean synced = mConfiguration.current().isPresent() && mRegisterFollower.isListed();
+        mReach.step();
         boolean candidate = synced && mLeaseRank < CANDIDATE_RANKS;
         mLease.step(candidate ? Optional.of(mLeaseRank) : Optional.empty());
         mLayerPlacement.step();
@@ -401,24 +424,6 @@
         exchange.endExchange();
     }
 
-    private Undertow startListener(URI address, HttpHandler handler) {
-        Undertow listener =
-                Undertow.builder()
-                        .setWorker(mWorker)
-                        .addHttpListener(address.getPort(), address.getHost())
-                        .setServerOption(
-                                UndertowOptions.REQUEST_PARSE_TIMEOUT,
-                                (int) HEADER_TIMEOUT.toMillis())
-                        .setServerOption(
-                                UndertowOptions.NO_REQUEST_TIMEOUT, (int) IDLE_TIMEOUT.toMillis())
-                        .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-                        .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                        .setHandler(handler)
-                        .build();
-        listener.start();
-        return listener;
-    }
-
     @Override
     public void close() {
         mScheduler.execute(() -> mClosed = true);
@@ -429,7 +434,7 @@
         mReadinessListener.stop();
         mMetricsListener.stop();
         mPeerListener.ifPresent(Undertow::stop);
-        mConnector.close();
         mPeerConnector.close();
+        mReach.close();
     }
 }
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
@@ -4,10 +4,10 @@
 import org.amaranthpick.core.gateway.LeastLoadedTargetPolicy;
 import org.amaranthpick.core.layers.EngineControl;
 import org.amaranthpick.core.quarantine.PromptQuarantine;
+import org.amaranthpick.core.reach.UpstreamPaths;
 import org.amaranthpick.core.register.RequestRateLimits;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
-import org.amaranthpick.server.http.HttpConnector;
 import org.amaranthpick.server.time.IoThreadScheduler;
 
 /**
@@ -16,7 +16,8 @@
  * @param host name of this daemon
  * @param scheduler clock, timers and the I/O thread
  * @param dialect HTTP headers used by callers and upstreams
- * @param connector connections to upstreams
+ * @param upstreams calls upstreams, directly or through other daemons
+ * @param paths direct paths to the upstreams
  * @param register registered upstreams
  * @param health health of the upstreams as observed from the forwarded requests
  * @param rateLimits limits that upstreams set to their requests
@@ -32,7 +33,8 @@
         String host,
         IoThreadScheduler scheduler,
         GatewayDialect dialect,
-        HttpConnector connector,
+        UpstreamConnector upstreams,
+        UpstreamPaths paths,
         UpstreamRegister register,
         UpstreamHealth health,
         RequestRateLimits rateLimits,
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
@@ -189,6 +189,11 @@
         Set.copyOf(mInProgress).forEach(other -> other.onEngineUnresponsive(engineId, reason));
     }
 
+    /** Moves streams that are silent on direct paths, all of which have been found broken. */
+    void onPartitioned() {
+        Set.copyOf(mInProgress).forEach(ForwardedExchange::onPartitioned);
+    }
+
     /** Stops requests whose prompts have been quarantined since they were sent. */
     void onQuarantine() {
         Set.copyOf(mInProgress).forEach(ForwardedExchange::onQuarantine);
@@ -232,7 +237,7 @@
         return colon < 0 ? host : host.substring(0, colon);
     }
 
-    private static String requestTargetOf(HttpServerExchange exchange) {
+    static String requestTargetOf(HttpServerExchange exchange) {
         String query = exchange.getQueryString();
         String path = exchange.getRequestURI();
         return query.isEmpty() ? path : path + "?" + query;
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import org.amaranthpick.core.gateway.RequestKind;
+import org.amaranthpick.core.reach.RelayReply;
 
 /** Counters and latency histograms of a gateway. */
 final class GatewayMetrics {
@@ -51,6 +52,18 @@
                     .name("amaranthpick_gateway_direct_paths_answered_total")
                     .help("Responses of upstreams over direct connections")
                     .register(mRegistry);
+    private final Counter mRelayReplyCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_relay_replies_total")
+                    .help("Answers of other daemons that were asked for a path to an upstream")
+                    .labelNames("status")
+                    .register(mRegistry);
+    private final Counter mRelayedCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_relay_requests_total")
+                    .help("Paths that other daemons asked for, by answer")
+                    .labelNames("status")
+                    .register(mRegistry);
     private final Histogram mResponseTime =
             histogram("answer_seconds", "Time to the end of the answer, by kind and outcome")
                     .labelNames("kind", "outcome")
@@ -90,6 +103,14 @@
         mPathAnswerCount.inc();
     }
 
+    void onRelayReply(RelayReply.Status status) {
+        mRelayReplyCount.labelValues(label(status)).inc();
+    }
+
+    void onRelayed(RelayReply.Status status) {
+        mRelayedCount.labelValues(label(status)).inc();
+    }
+
     void onFirstEvent(Duration elapsed) {
         mFirstEventTime.observe(seconds(elapsed));
     }
@@ -116,8 +137,8 @@
         exchange.getResponseSender().send(ByteBuffer.wrap(text.toByteArray()));
     }
 
-    private static String label(RequestKind kind) {
-        return kind.name().toLowerCase(Locale.ROOT);
+    private static String label(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
     }
 
     private static double seconds(Duration duration) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/HealthRecorder.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/HealthRecorder.java
@@ -13,9 +13,12 @@
         mLog = log;
     }
 
-    /** Records a failure that the upstream caused. */
+    /** Records a failure that the upstream caused, unless the path to it may have. */
     void recordFailure(UpstreamEntry upstream, String reason) {
         mLog.logHealth(upstream, reason);
+        if (!mContext.paths().isDirect(upstream.id())) {
+            return;
+        }
         mContext.health().onFailure(upstream.id(), nowNs());
     }
 
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayContext.java
@@ -0,0 +1,31 @@
+package org.amaranthpick.server.gateway;
+
+import java.net.InetAddress;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import org.amaranthpick.core.reach.UpstreamPaths;
+import org.amaranthpick.core.register.RequestRateLimits;
+import org.amaranthpick.core.register.UpstreamRegister;
+import org.amaranthpick.server.time.IoThreadScheduler;
+
+/**
+ * Components that relaying requests for other daemons needs.
+ *
+ * @param scheduler clock, timers and the I/O thread
+ * @param dialect HTTP headers of upstreams
+ * @param register registered upstreams
+ * @param rateLimits limits that upstreams set to their requests
+ * @param paths direct paths of this daemon
+ * @param isDaemon whether an address is that of a daemon of this fleet
+ * @param maxBodyBytes largest body of a request
+ * @param metrics counts relayed requests
+ */
+record RelayContext(
+        IoThreadScheduler scheduler,
+        GatewayDialect dialect,
+        UpstreamRegister register,
+        RequestRateLimits rateLimits,
+        UpstreamPaths paths,
+        Predicate<InetAddress> isDaemon,
+        LongSupplier maxBodyBytes,
+        GatewayMetrics metrics) {}
--- a/server/src/main/java/org/amaranthpick/server/gateway/StallDetector.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/StallDetector.java
@@ -26,6 +26,7 @@
     private Optional<ForwardAttempt> mAttempt = Optional.empty();
     private Cancellable mTimer = () -> {};
     private long mLastEventNs;
+    private boolean mFalseAlarm;
 
     /** Receives stall notifications. */
     interface Listener {
@@ -49,6 +50,7 @@
     /** Starts monitoring an attempt instead of the previous one. */
     void onAttempt(ForwardAttempt attempt) {
         mAttempt = Optional.of(attempt);
+        mFalseAlarm = false;
         mSilenceTimeout.onAttempt();
         mLastEventNs = mContext.scheduler().monotonicNs();
         schedule(mSilenceTimeout.timeout());
@@ -68,6 +70,7 @@
         } else {
             mContext.metrics().onFirstEvent(Duration.ofNanos(nowNs - mRequest.receivedNs()));
         }
+        mFalseAlarm = false;
         mSilenceTimeout.onEvent(Duration.ofNanos(pauseNs));
         mLastEventNs = nowNs;
     }
@@ -139,13 +142,26 @@
                 stalledAddresses.stream()
                         .flatMap(address -> mContext.register().findByAddress(address).stream())
                         .toList();
-        if (stalledEngines.isEmpty()) {
+        if (stalledEngines.isEmpty() && isPathSuspect(attempt)) {
+            mListener.onStalled(attempt, List.of(), "the engine answers over another path");
+        } else if (stalledEngines.isEmpty()) {
+            mFalseAlarm = true;
             backOff();
         } else {
             mListener.onStalled(attempt, stalledEngines, "stalled at " + stalledAddresses);
         }
     }
 
+    /**
+     * Returns whether an attempt is silent though its engine answers queries, since its connection
+     * leads over a path that was found broken, or through a daemon that may be silent itself.
+     */
+    private boolean isPathSuspect(ForwardAttempt attempt) {
+        return attempt.relay().isPresent()
+                ? mFalseAlarm
+                : !mContext.paths().isDirect(attempt.target().upstream().id());
+    }
+
     private void onReportMissing(ForwardAttempt attempt, EngineReport.Absent missing) {
         Duration targetLatency = mRequest.route().targetLatency();
         boolean unanswered =
@@ -153,7 +169,9 @@
                                 .compareTo(
                                         targetLatency.multipliedBy(MAX_TARGET_LATENCIES_UNANSWERED))
                         > 0;
-        if (missing.unreachable() || unanswered) {
+        if (missing.cause() == EngineReport.Absent.Cause.NO_PATH) {
+            mListener.onStalled(attempt, List.of(), missing.reason());
+        } else if (missing.cause() == EngineReport.Absent.Cause.UNREACHABLE || unanswered) {
             mListener.onStalled(attempt, List.of(attempt.target().upstream()), missing.reason());
         } else {
             backOff();
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/gateway/UpstreamReach.java
@@ -0,0 +1,160 @@
+package org.amaranthpick.server.gateway;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.handlers.PathHandler;
+import java.net.InetAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.amaranthpick.core.gateway.GatewayConfiguration;
+import org.amaranthpick.core.reach.RelayDirectory;
+import org.amaranthpick.core.reach.UpstreamPaths;
+import org.amaranthpick.core.register.DaemonCounter;
+import org.amaranthpick.core.register.RequestRateLimits;
+import org.amaranthpick.core.register.UpstreamHealth;
+import org.amaranthpick.core.register.UpstreamRegister;
+import org.amaranthpick.server.http.ConnectorSettings;
+import org.amaranthpick.server.http.HttpConnector;
+import org.amaranthpick.server.time.IoThreadScheduler;
+import org.xnio.XnioWorker;
+
+/**
+ * Paths of a gateway to the upstreams: direct connections, those through other daemons, and those
+ * that it opens for others.
+ */
+final class UpstreamReach implements AutoCloseable {
+    /** Connections to upstreams are not reused, so that no request gets the response of another. */
+    private static final Duration NO_REUSE = Duration.ZERO;
+
+    private static final int MAX_CONNECTIONS = 400;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+
+    /** Short, since a daemon that cannot be reached delays the request that is to be relayed. */
+    private static final Duration RELAY_CONNECT_TIMEOUT = Duration.ofMillis(100);
+
+    private static final Duration RELAY_IDLE_TIMEOUT = Duration.ofSeconds(2);
+    private static final long DEFAULT_MAX_BODY_BYTES = 1 << 20;
+
+    private final UpstreamPaths mPaths = new UpstreamPaths();
+    private final DaemonCounter mDaemons;
+    private final Supplier<Optional<GatewayConfiguration>> mConfiguration;
+    private final HttpConnector mDirect;
+    private final HttpConnector mRelayed;
+    private final UpstreamConnector mConnector;
+    private final PathProber mProber;
+    private final RelayHandler mRelayHandler;
+
+    /**
+     * Creates the paths.
+     *
+     * @param worker gives the I/O thread
+     * @param scheduler scheduler on that thread
+     * @param dialect HTTP headers of upstreams
+     * @param register registered upstreams
+     * @param health told of upstreams that other daemons reach or do not reach
+     * @param rateLimits limits that upstreams set to their requests
+     * @param daemons other daemons
+     * @param configuration latest configuration, empty before the first
+     * @param metrics counts paths
+     * @param random source of the choice of daemons and probes
+     */
+    UpstreamReach(
+            XnioWorker worker,
+            IoThreadScheduler scheduler,
+            GatewayDialect dialect,
+            UpstreamRegister register,
+            UpstreamHealth health,
+            RequestRateLimits rateLimits,
+            DaemonCounter daemons,
+            Supplier<Optional<GatewayConfiguration>> configuration,
+            GatewayMetrics metrics,
+            RandomGenerator random) {
+        mDaemons = daemons;
+        mConfiguration = configuration;
+        mDirect = new HttpConnector(worker, scheduler, settings(CONNECT_TIMEOUT, NO_REUSE));
+        mRelayed =
+                new HttpConnector(
+                        worker, scheduler, settings(RELAY_CONNECT_TIMEOUT, RELAY_IDLE_TIMEOUT));
+        mConnector =
+                new UpstreamConnector(
+                        mDirect,
+                        mRelayed,
+                        mPaths,
+                        new RelayDirectory(daemons::peers, random),
+                        health,
+                        scheduler,
+                        metrics);
+        mProber = new PathProber(mPaths, register, mDirect, scheduler, random);
+        mRelayHandler =
+                new RelayHandler(
+                        new RelayContext(
+                                scheduler,
+                                dialect,
+                                register,
+                                rateLimits,
+                                mPaths,
+                                this::isDaemon,
+                                this::maxBodyBytes,
+                                metrics),
+                        mDirect);
+    }
+
+    private static ConnectorSettings settings(Duration connectTimeout, Duration idleTimeout) {
+        return new ConnectorSettings(MAX_CONNECTIONS, MAX_CONNECTIONS, connectTimeout, idleTimeout);
+    }
+
+    UpstreamPaths paths() {
+        return mPaths;
+    }
+
+    UpstreamConnector connector() {
+        return mConnector;
+    }
+
+    /** Starts the probes of broken paths that are due. Called at intervals. */
+    void step() {
+        mProber.step();
+    }
+
+    /** Refuses to open further paths for other daemons. */
+    void drain() {
+        mRelayHandler.drain();
+    }
+
+    /** Returns the number of requests that are relayed for other daemons. */
+    int relayed() {
+        return mRelayHandler.inProgress();
+    }
+
+    /** Adds what other daemons ask for to the handler of their messages. */
+    HttpHandler handler(PathHandler messages) {
+        messages.addExactPath(UpstreamConnector.RELAY_PATH, mRelayHandler);
+        return exchange -> {
+            if (RelayHandler.isRelayed(exchange)) {
+                mRelayHandler.relay(exchange);
+            } else {
+                messages.handleRequest(exchange);
+            }
+        };
+    }
+
+    private boolean isDaemon(InetAddress address) {
+        return mDaemons.peers().stream()
+                .map(peer -> peer.substring(0, Math.max(0, peer.lastIndexOf(':'))))
+                .anyMatch(address.getHostAddress()::equals);
+    }
+
+    private long maxBodyBytes() {
+        return mConfiguration
+                .get()
+                .map(configuration -> configuration.limits().maxBodyBytes())
+                .orElse(DEFAULT_MAX_BODY_BYTES);
+    }
+
+    @Override
+    public void close() {
+        mDirect.close();
+        mRelayed.close();
+    }
+}
--- a/server/src/main/java/org/amaranthpick/server/http/HttpConnector.java
+++ b/server/src/main/java/org/amaranthpick/server/http/HttpConnector.java
@@ -3,6 +3,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.net.URI;
+import java.time.Duration;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.amaranthpick.core.time.Scheduler;
@@ -47,8 +48,35 @@
      * @return handle of the call
      */
     public OutgoingCall prepare(OutgoingRequest request, ResponseListener listener) {
-        HostPool pool = mPools.computeIfAbsent(poolKey(request.address()), key -> pool(request));
-        return new OutgoingCall(pool, mScheduler, request, listener);
+        return new OutgoingCall(pool(request.address()), mScheduler, request, listener);
+    }
+
+    /**
+     * Prepares a call on a connection that is open already.
+     *
+     * @param connection the connection, to the address of the request; belongs to the call
+     * @param request the request
+     * @param listener told of the call once it is started
+     * @return handle of the call
+     */
+    public OutgoingCall prepare(
+            OpenedConnection connection, OutgoingRequest request, ResponseListener listener) {
+        return new OutgoingCall(connection, mScheduler, request, listener);
+    }
+
+    /**
+     * Opens a connection and sends nothing over it.
+     *
+     * @param address scheme, IP number and port of the receiver
+     * @param timeout longest time until it is open
+     * @param listener told of the connection, perhaps before this method returns
+     */
+    public void open(URI address, Duration timeout, OpenedConnection.Listener listener) {
+        HostPool pool = pool(address);
+        ConnectionOpener opener = new ConnectionOpener(pool, listener);
+        if (!pool.execute(() -> opener.open(mScheduler, timeout))) {
+            listener.onFailed("the client is closed");
+        }
     }
 
     /**
@@ -75,14 +103,17 @@
         mPools.values().forEach(HostPool::close);
     }
 
-    private HostPool pool(OutgoingRequest request) {
-        return new HostPool(
-                request.address(),
-                mWorker.getIoThread(),
-                mBuffers,
-                mScheduler,
-                mSettings,
-                mCounters);
+    private HostPool pool(URI address) {
+        return mPools.computeIfAbsent(
+                poolKey(address),
+                key ->
+                        new HostPool(
+                                address,
+                                mWorker.getIoThread(),
+                                mBuffers,
+                                mScheduler,
+                                mSettings,
+                                mCounters));
     }
 
     private static String poolKey(URI address) {
--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.core.time.Scheduler;
@@ -31,6 +32,7 @@
     private final OutgoingRequest mRequest;
     private final ResponseListener mListener;
     private final HostPool.Taker mTaker = new ConnectionTaker();
+    private final Optional<OpenedConnection> mOpened;
 
     private ClientConnection mConnection;
     private StreamSourceChannel mSource;
@@ -53,7 +55,26 @@
             Scheduler scheduler,
             OutgoingRequest request,
             ResponseListener listener) {
+        this(pool, Optional.empty(), scheduler, request, listener);
+    }
+
+    /** Creates a call on a connection that is open already. */
+    OutgoingCall(
+            OpenedConnection opened,
+            Scheduler scheduler,
+            OutgoingRequest request,
+            ResponseListener listener) {
+        this(opened.pool(), Optional.of(opened), scheduler, request, listener);
+    }
+
+    private OutgoingCall(
+            HostPool pool,
+            Optional<OpenedConnection> opened,
+            Scheduler scheduler,
+            OutgoingRequest request,
+            ResponseListener listener) {
         mPool = pool;
+        mOpened = opened;
         mScheduler = scheduler;
         mRequest = request;
         mListener = listener;
@@ -83,9 +104,14 @@
 
     private void begin() {
         if (mDone) {
+            mOpened.ifPresent(OpenedConnection::close);
             return;
         }
         mRequest.total().ifPresent(total -> mTotalTimer = after(total, this::onTotalTimeout));
+        if (mOpened.isPresent()) {
+            use(mOpened.get().connection(), false);
+            return;
+        }
         mStepTimer = after(mPool.connectTimeout(), this::onConnectTimeout);
         mPool.acquire(mTaker);
     }
