Placement: a daemon that reaches no engine hands the lease on

Cause: the lease depends on the store alone; being able to do the duty was no condition.

Change: after five control steps (1.25 s) in a partition a daemon releases the lease, and is no candidate for it until the partition ends. If no daemon reaches the engines, none holds it.

--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -411,7 +411,12 @@
         }
         boolean synced = mConfiguration.current().isPresent() && mRegisterFollower.isListed();
         mReach.step();
-        boolean candidate = synced && mLeaseRank < CANDIDATE_RANKS;
+        boolean candidate =
+                synced && mLeaseRank < CANDIDATE_RANKS && !mReach.isPartitionedForLong();
+        if (mReach.isPartitionedForLong() && mLease.held().isPresent()) {
+            // It cannot order layers; another daemon may reach the engines.
+            mLease.release();
+        }
         mLease.step(candidate ? Optional.of(mLeaseRank) : Optional.empty());
         mLayerPlacement.step();
         mScheduler.schedule(CONTROL_PERIOD, this::runControlStep);
--- a/server/src/main/java/org/amaranthpick/server/gateway/UpstreamReach.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/UpstreamReach.java
@@ -36,6 +36,8 @@
     private static final Duration RELAY_IDLE_TIMEOUT = Duration.ofSeconds(2);
     private static final long DEFAULT_MAX_BODY_BYTES = 1 << 20;
 
+    private static final int STEPS_OF_SHORT_FAULT = 4;
+
     private final UpstreamPaths mPaths = new UpstreamPaths();
     private final DaemonCounter mDaemons;
     private final Supplier<Optional<GatewayConfiguration>> mConfiguration;
@@ -44,6 +46,7 @@
     private final UpstreamConnector mConnector;
     private final PathProber mProber;
     private final RelayHandler mRelayHandler;
+    private int mPartitionedSteps;
 
     /**
      * Creates the paths.
@@ -115,6 +118,14 @@
     /** Starts the probes of broken paths that are due. Called at intervals. */
     void step() {
         mProber.step();
+        mPartitionedSteps = mPaths.isPartitioned() ? mPartitionedSteps + 1 : 0;
+    }
+
+    /**
+     * Returns whether no upstream has been reached directly for longer than a short fault takes.
+     */
+    boolean isPartitionedForLong() {
+        return mPartitionedSteps > STEPS_OF_SHORT_FAULT;
     }
 
     /** Refuses to open further paths for other daemons. */
