Upstreams: a connection that carried a refusal carries no other call

Other operators saw: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran. The platform's gateway opens a connection for each request, so it cannot happen there. It could on the product's own interface, which keeps connections.

Cause: refusals and the answers of plain services carry no request id; the next response on a connection was taken for that of the next call.

Change: a connection is kept after a whole stream, whose tokens name their request, and after status 2xx of a query or an order; never after a refusal or a call of a plain service.

Evidence: RepeatedResponseTest, 2 of 2 failed before (503 of the first call for the second one; Refused for a stream that ran), both pass. HttpUpstreamClientTest and HttpUpstreamCallsTest pass unchanged.

--- a/server/src/main/java/org/amaranthpick/server/http/BodyCollector.java
+++ b/server/src/main/java/org/amaranthpick/server/http/BodyCollector.java
@@ -5,10 +5,12 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.IntPredicate;
 
 /** Collects a whole response of bounded size. */
 public final class BodyCollector implements ResponseListener {
     private final int mMaxBytes;
+    private final IntPredicate mKeepsConnection;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private final CompletableFuture<Reply> mReply = new CompletableFuture<>();
     private int mStatus;
@@ -32,7 +34,19 @@
      * @param maxBytes largest body; a larger one counts as lost
      */
     public BodyCollector(int maxBytes) {
+        this(maxBytes, status -> true);
+    }
+
+    /**
+     * Creates a collector.
+     *
+     * @param maxBytes largest body; a larger one counts as lost
+     * @param keepsConnection whether the connection may carry another call after a response with a
+     *     status
+     */
+    public BodyCollector(int maxBytes, IntPredicate keepsConnection) {
         mMaxBytes = maxBytes;
+        mKeepsConnection = keepsConnection;
     }
 
     /**
@@ -66,6 +80,11 @@
         return !mTooLarge;
     }
 
+    @Override
+    public boolean keepsConnection() {
+        return mKeepsConnection.test(mStatus);
+    }
+
     @Override
     public void onEnd(CallEnd end) {
         CallEnd seen =
--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -269,7 +269,7 @@
     private void complete() {
         ClientConnection connection = mConnection;
         mConnection = null;
-        if (mRequestWritten) {
+        if (mRequestWritten && mListener.keepsConnection()) {
             mPool.release(connection);
         } else {
             Connections.closeNow(connection);
--- a/server/src/main/java/org/amaranthpick/server/http/ResponseListener.java
+++ b/server/src/main/java/org/amaranthpick/server/http/ResponseListener.java
@@ -33,6 +33,16 @@
         return true;
     }
 
+    /**
+     * Checks, after a whole response, whether its connection may carry another call. If the
+     * receiver may write a response twice, the next call would get the second one.
+     *
+     * @return true to keep the connection
+     */
+    default boolean keepsConnection() {
+        return true;
+    }
+
     /**
      * The call ended; nothing is told after it.
      *
--- a/server/src/main/java/org/amaranthpick/server/upstream/HttpUpstreamClient.java
+++ b/server/src/main/java/org/amaranthpick/server/upstream/HttpUpstreamClient.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
+import java.util.function.IntPredicate;
 import org.amaranthpick.core.config.Configuration;
 import org.amaranthpick.core.manifest.UpstreamSpec;
 import org.amaranthpick.core.name.Identity;
@@ -111,7 +112,8 @@
                         call.body(),
                         mSettings.serviceTimeout(),
                         Optional.of(mSettings.serviceTimeout()));
-        return send(request).thenApply(HttpUpstreamClient::serviceReply);
+        // Answers of plain services carry no request id, so no call uses a connection again.
+        return send(request, status -> false).thenApply(HttpUpstreamClient::serviceReply);
     }
 
     @Override
@@ -193,7 +195,12 @@
     }
 
     private CompletionStage<BodyCollector.Reply> send(OutgoingRequest request) {
-        BodyCollector collector = new BodyCollector(mSettings.maxBodyBytes());
+        return send(request, status -> status < FIRST_STATUS_NOT_OK);
+    }
+
+    private CompletionStage<BodyCollector.Reply> send(
+            OutgoingRequest request, IntPredicate keepsConnection) {
+        BodyCollector collector = new BodyCollector(mSettings.maxBodyBytes(), keepsConnection);
         mConnector.send(request, collector);
         return collector.reply();
     }
--- a/server/src/main/java/org/amaranthpick/server/upstream/TokenStream.java
+++ b/server/src/main/java/org/amaranthpick/server/upstream/TokenStream.java
@@ -30,6 +30,7 @@
     private volatile boolean mSending;
     private int mStatus;
     private boolean mTokenSeen;
+    private boolean mFinished;
     private boolean mEnded;
 
     TokenStream(
@@ -87,6 +88,12 @@
         }
     }
 
+    /** Other responses carry no request id, by which a repeated one could be told apart. */
+    @Override
+    public boolean keepsConnection() {
+        return mFinished;
+    }
+
     @Override
     public void onEnd(CallEnd end) {
         if (end instanceof CallEnd.NotSent unsent) {
@@ -135,6 +142,7 @@
         if (mStatus != STATUS_OK || line.mTokens < 0) {
             throw new IOException("an end line is malformed");
         }
+        mFinished = mTokenSeen;
         tell(new StreamEnd.Finished(line.mReason, line.mTokens));
     }
 
