--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import org.amaranthpick.core.gateway.RequestKind;
+import org.amaranthpick.core.reach.RelayReply;
 
 /** Counters and latency histograms of a gateway. */
 final class GatewayMetrics {
@@ -41,6 +42,28 @@
                             "Sends whose response was lost, by kind of route and whether it had begun")
                     .labelNames("kind", "begun")
                     .register(mRegistry);
+    private final Counter mPathFailureCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_direct_paths_failed_total")
+                    .help("Connections to upstreams that failed before a request was sent")
+                    .register(mRegistry);
+    private final Counter mPathAnswerCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_direct_paths_answered_total")
+                    .help("Responses of upstreams over direct connections")
+                    .register(mRegistry);
+    private final Counter mRelayReplyCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_relay_replies_total")
+                    .help("Answers of other daemons that were asked for a path to an upstream")
+                    .labelNames("status")
+                    .register(mRegistry);
+    private final Counter mRelayedCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_relay_requests_total")
+                    .help("Paths that other daemons asked for, by answer")
+                    .labelNames("status")
+                    .register(mRegistry);
     private final Histogram mResponseTime =
             histogram("answer_seconds", "Time to the end of the answer, by kind and outcome")
                     .labelNames("kind", "outcome")
@@ -72,6 +95,22 @@
         mLossCount.labelValues(label(kind), Boolean.toString(begun)).inc();
     }
 
+    void onPathFailed() {
+        mPathFailureCount.inc();
+    }
+
+    void onPathAnswered() {
+        mPathAnswerCount.inc();
+    }
+
+    void onRelayReply(RelayReply.Status status) {
+        mRelayReplyCount.labelValues(label(status)).inc();
+    }
+
+    void onRelayed(RelayReply.Status status) {
+        mRelayedCount.labelValues(label(status)).inc();
+    }
+
     void onFirstEvent(Duration elapsed) {
         mFirstEventTime.observe(seconds(elapsed));
     }
@@ -98,8 +137,8 @@
         exchange.getResponseSender().send(ByteBuffer.wrap(text.toByteArray()));
     }
 
-    private static String label(RequestKind kind) {
-        return kind.name().toLowerCase(Locale.ROOT);
+    private static String label(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
     }
 
     private static double seconds(Duration duration) {
