--- a/server/src/main/java/org/amaranthpick/server/gateway/StallDetector.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/StallDetector.java
@@ -169,24 +169,17 @@
                                 .compareTo(
                                         targetLatency.multipliedBy(MAX_TARGET_LATENCIES_UNANSWERED))
                         > 0;
-        switch (missing.cause()) {
-            case NO_PATH -> mListener.onStalled(attempt, List.of(), missing.reason());
-            case PAUSED -> backOff();
-            case UNREACHABLE -> reportEngine(attempt, missing.reason());
-            case NO_REPORT -> {
-                if (unanswered) {
-                    reportEngine(attempt, missing.reason());
-                } else {
-                    backOff();
-                }
-            }
+        EngineReport.Absent.Cause cause = missing.cause();
+        if (cause == EngineReport.Absent.Cause.NO_PATH) {
+            mListener.onStalled(attempt, List.of(), missing.reason());
+        } else if (cause == EngineReport.Absent.Cause.UNREACHABLE
+                || (cause == EngineReport.Absent.Cause.NO_REPORT && unanswered)) {
+            mListener.onStalled(attempt, List.of(attempt.target().upstream()), missing.reason());
+        } else {
+            backOff();
         }
     }
 
-    private void reportEngine(ForwardAttempt attempt, String reason) {
-        mListener.onStalled(attempt, List.of(attempt.target().upstream()), reason);
-    }
-
     private Duration silenceDuration() {
         return Duration.ofNanos(mContext.scheduler().monotonicNs() - mLastEventNs);
     }
