--- a/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
@@ -23,10 +23,10 @@
  * requests of this daemon in progress, with a preference for the local failure domain. For models,
  * it is the least loaded of the chains that fit into the memory of all engines together. If none is
  * left, any chain over engines at which the request has not failed is used, even over excluded
- * engines, since the request would be refused otherwise. No request goes to an upstream that has
- * had as many as it takes. Designed for hundreds of engines that fail and come back all the time:
- * chains that are still intact serve on while others are searched at bounded intervals. Confined to
- * one thread.
+ * engines, since the request would be refused otherwise. No request goes to an upstream that takes
+ * none now by what it says itself. Designed for hundreds of engines that fail and come back all the
+ * time: chains that are still intact serve on while others are searched at bounded intervals.
+ * Confined to one thread.
  */
 public final class LeastLoadedTargetPolicy implements TargetPolicy {
     /**
--- a/core/src/main/java/org/amaranthpick/core/reach/UpstreamPaths.java
+++ b/core/src/main/java/org/amaranthpick/core/reach/UpstreamPaths.java
@@ -19,12 +19,12 @@
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     /**
-     * Upstreams that other daemons reach and this one does not, with no answer of any upstream in
-     * between, from which on all direct paths count as broken.
+     * Number of broken paths in a row after which all direct paths count as broken. An answer of
+     * any upstream over its direct path ends the row.
      */
     private static final int BROKEN_PATHS_OF_PARTITION = 2;
 
-    /** The same for upstreams of which no other daemon knows. */
+    /** The same for failed paths of which no daemon could say whether the upstream is at fault. */
     private static final int FAILURES_OF_PARTITION = 3;
 
     private static final int BROKEN_PATHS_PER_PROBE = 3;
@@ -72,7 +72,7 @@
     }
 
     /**
-     * Records that another daemon reaches an upstream to which the direct path failed.
+     * Records a broken path: another daemon reaches the upstream to which the direct path failed.
      *
      * @param id id of the upstream
      */
--- a/core/src/main/java/org/amaranthpick/core/register/LeavingNotices.java
+++ b/core/src/main/java/org/amaranthpick/core/register/LeavingNotices.java
@@ -19,7 +19,7 @@
     /** Time for which a report of another daemon counts, if no answer confirms it. */
     static final Duration REPORT_LIFETIME = Duration.ofSeconds(10);
 
-    /** Number of notices from which the oldest are forgotten; more than leave at a time. */
+    /** Number of notices from which all are forgotten; more than leave at a time. */
     private static final int MAX_NOTICES = 4096;
 
     private final Set<Incarnation> mLeaving = new HashSet<>();
--- a/server/src/main/java/org/amaranthpick/server/gateway/CrashDetector.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/CrashDetector.java
@@ -15,8 +15,8 @@
 /**
  * Distinguishes the crash of an upstream from a lost response. A lost response alone may be due to
  * its connection, so the upstream is queried. An engine that does not report any more has crashed;
- * so has an upstream of a plain service that cannot be reached, since it knows no reports. Confined
- * to one thread.
+ * so has an upstream of a plain service that cannot be reached, since it knows no reports. One that
+ * no daemon could query has not. Confined to one thread.
  */
 final class CrashDetector {
     private final EngineControl mEngines;
--- a/server/src/main/java/org/amaranthpick/server/gateway/UpstreamCall.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/UpstreamCall.java
@@ -203,7 +203,7 @@
         }
     }
 
-    /** Tells responses of the upstream from those of the daemon that relays them. */
+    /** Distinguishes responses of the upstream from those of the daemon that relays them. */
     private final class RelayListener extends PathListener {
         private final String mPeer;
         private Optional<String> mRelayResult = Optional.empty();
--- a/server/src/main/java/org/amaranthpick/server/gateway/UpstreamConnector.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/UpstreamConnector.java
@@ -109,8 +109,9 @@
     }
 
     /** Prepares a call that reaches at most one upstream, once. */
-    UpstreamCall prepare(UpstreamEntry upstream, OutgoingRequest request, ResponseListener l) {
-        return new UpstreamCall(this, upstream, request, l, false);
+    UpstreamCall prepare(
+            UpstreamEntry upstream, OutgoingRequest request, ResponseListener listener) {
+        return new UpstreamCall(this, upstream, request, listener, false);
     }
 
     @Override
--- a/server/src/main/java/org/amaranthpick/server/gateway/UpstreamReach.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/UpstreamReach.java
@@ -38,6 +38,7 @@
     private static final Duration RELAY_IDLE_TIMEOUT = Duration.ofSeconds(2);
     private static final long DEFAULT_MAX_BODY_BYTES = 1 << 20;
 
+    /** Calls of {@link #step()} for which a partition may be a short fault, such as a silence. */
     private static final int STEPS_OF_SHORT_FAULT = 4;
 
     private final UpstreamPaths mPaths = new UpstreamPaths();
