--- a/review/lab/Daemon.java
+++ b/review/lab/Daemon.java
@@ -91,17 +91,6 @@
         return mProcess != null && mProcess.isAlive();
     }
 
-    public int exitValue() {
-        return mProcess.exitValue();
-    }
-
-    public void signal(String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid()))
-                .inheritIO()
-                .start()
-                .waitFor();
-    }
-
     public void kill() throws Exception {
         mProcess.destroyForcibly();
         mProcess.waitFor(5, TimeUnit.SECONDS);
--- a/review/lab/Engine.java
+++ b/review/lab/Engine.java
@@ -42,13 +42,6 @@
         return mServer.getInetAddress().getHostAddress() + ":" + mServer.getLocalPort();
     }
 
-    /** Ends the engine's process and starts it again, empty. */
-    public void restart() {
-        orders.set(0);
-        mFence = 0;
-        down = false;
-    }
-
     private boolean handle(Http.Message request, Socket socket) throws Exception {
         if (down) {
             socket.setSoLinger(true, 0);
--- a/review/lab/Store.java
+++ b/review/lab/Store.java
@@ -52,15 +52,6 @@
         }
     }
 
-    public synchronized long count(String kind) {
-        return mObjects.keySet().stream().filter(k -> k.startsWith(kind + "/")).count();
-    }
-
-    public synchronized String get(String kind, String name) {
-        Entry entry = mObjects.get(kind + "/" + name);
-        return entry == null ? null : new String(entry.spec, StandardCharsets.UTF_8);
-    }
-
     private Entry write(String kind, String name, byte[] spec, byte[] status) {
         Entry old = mObjects.get(kind + "/" + name);
         mRevision++;
