--- a/review/lab/KeptConnections.java
+++ b/review/lab/KeptConnections.java
@@ -23,6 +23,9 @@
     private static final int TRAFFIC_S = 105;
     private static final int TIMEOUT_MS = 1000;
 
+    /** Clients abandon a stream after a gap of two seconds, also before its first event. */
+    private static final int STREAM_GAP_MS = 2000;
+
     private static final AtomicInteger SENT = new AtomicInteger();
     private static final AtomicInteger SERVED = new AtomicInteger();
     private static final AtomicInteger FAILED = new AtomicInteger();
@@ -88,9 +91,9 @@
         System.exit(broken ? 1 : 0);
     }
 
-    /** Draws the time to a client's next request; a burst comes for 3 of each 3.5 seconds. */
+    /** Draws the time to a client's next request; a burst comes for 3 of each 3.2 seconds. */
     private static double pause(Random random, double atS) {
-        boolean burst = Lab.trouble() && atS >= 2 && atS % 3.5 < 3;
+        boolean burst = Lab.trouble() && atS >= 2 && atS % 3.2 < 3;
         return -Math.log(1 - random.nextDouble()) * CLIENTS / PER_S / (burst ? BURST : 1);
     }
 
@@ -143,7 +146,7 @@
         Http.Message answer = null;
         boolean closed = false;
         try {
-            answer = connection.send(request, stream ? 20500 : TIMEOUT_MS + 500);
+            answer = connection.send(request, stream ? STREAM_GAP_MS : TIMEOUT_MS + 500);
             closed = answer == null;
         } catch (java.net.SocketTimeoutException e) {
             closed = false;
