--- a/core/src/main/java/org/amaranthpick/core/register/DaemonCounter.java
+++ b/core/src/main/java/org/amaranthpick/core/register/DaemonCounter.java
@@ -55,12 +55,18 @@
     private final Map<String, Optional<Registration>> mKnown = new TreeMap<>();
     private int mCount = INITIAL_COUNT;
     private IntConsumer mOnCount = count -> {};
+    private List<PeerDaemon> mDaemons = List.of();
     private List<String> mPeers = List.of();
     private boolean mRegistered;
     private boolean mClosed;
 
-    /** Content of a daemon's object in the store; empty address if it accepts no reports. */
-    private record Registration(String peerAddress) {}
+    /**
+     * Content of a daemon's object in the store.
+     *
+     * @param peerAddress address, empty if the daemon accepts no reports
+     * @param domain failure domain, null in the objects of releases that don't write it
+     */
+    private record Registration(String peerAddress, String domain) {}
 
     /**
      * Creates a counter.
@@ -68,6 +74,7 @@
      * @param store object API of the platform
      * @param writers source of writer tokens
      * @param host name of this host
+     * @param domain failure domain of this host
      * @param peerAddress IP address and port at which this daemon accepts reports of others
      * @param scheduler clocks and timers
      * @param executor runs all callbacks, one at a time
@@ -77,6 +84,7 @@
             ObjectStore store,
             WriterTokens writers,
             String host,
+            String domain,
             Optional<String> peerAddress,
             Scheduler scheduler,
             Executor executor,
@@ -84,7 +92,7 @@
         mStore = store;
         mWriters = writers;
         mHost = host;
-        mRegistration = new Registration(peerAddress.orElse(""));
+        mRegistration = new Registration(peerAddress.orElse(""), domain);
         mScheduler = scheduler;
         mExecutor = executor;
         mRandom = random;
@@ -118,6 +126,15 @@
         return mPeers;
     }
 
+    /**
+     * Returns the other daemons that accept reports.
+     *
+     * @return daemons in the order of their host names, those that are gone included
+     */
+    public List<PeerDaemon> daemons() {
+        return mDaemons;
+    }
+
     /** Registers again soon, when the store came back from a copy that may lack this daemon. */
     public void onStoreRestored() {
         mScheduler.schedule(
@@ -170,19 +187,24 @@
                 sLogger.atInfo().log("roll: daemons=%d before=%d", count, mCount);
             }
             mCount = count;
-            mPeers = knownPeers();
+            mDaemons = knownDaemons();
+            mPeers = mDaemons.stream().map(PeerDaemon::address).toList();
             updateOwn(listed.objects());
             mOnCount.accept(count);
         }
         mScheduler.schedule(jittered(LIST_PERIOD), this::registerOrList);
     }
 
-    private List<String> knownPeers() {
+    private List<PeerDaemon> knownDaemons() {
         return mKnown.entrySet().stream()
                 .filter(entry -> !entry.getKey().equals(PREFIX + mHost))
                 .flatMap(entry -> entry.getValue().stream())
-                .map(Registration::peerAddress)
-                .filter(address -> address != null && !address.isEmpty())
+                .filter(found -> found.peerAddress() != null && !found.peerAddress().isEmpty())
+                .map(
+                        found ->
+                                new PeerDaemon(
+                                        found.peerAddress(),
+                                        Optional.ofNullable(found.domain()).orElse("")))
                 .toList();
     }
 
--- a/core/src/test/java/org/amaranthpick/core/register/DaemonCounterTest.java
+++ b/core/src/test/java/org/amaranthpick/core/register/DaemonCounterTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -9,6 +10,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.amaranthpick.core.store.MemoryObjectStore;
+import org.amaranthpick.core.store.WriteCondition;
 import org.amaranthpick.core.store.WriterTokens;
 import org.amaranthpick.core.time.VirtualScheduler;
 import org.junit.jupiter.api.Test;
@@ -27,6 +29,7 @@
                         mStore,
                         new WriterTokens(host, mCounters.size()),
                         host,
+                        "domain-" + mCounters.size() % 2,
                         Optional.of("10.0.0.1:" + mCounters.size()),
                         mScheduler,
                         Runnable::run,
@@ -58,4 +61,21 @@
         }
         assertEquals(mCounters.size(), mStore.copy().objects().size());
     }
+
+    /** An earlier release registers without its domain, and runs beside this one in an upgrade. */
+    @Test
+    void aDaemonThatRegisteredWithoutADomainIsCountedAndReached() {
+        mStore.write(
+                "gateways/old",
+                new WriteCondition.Absent(),
+                "{\"peerAddress\":\"10.0.0.2:1\"}".getBytes(StandardCharsets.UTF_8),
+                new WriterTokens("old", 1).next());
+        startDaemon();
+        startDaemon();
+        mScheduler.advance(SETTLED);
+        assertEquals(3, mCounters.get(0).count());
+        assertEquals(
+                List.of(new PeerDaemon("10.0.0.1:1", "domain-1"), new PeerDaemon("10.0.0.2:1", "")),
+                mCounters.get(0).daemons());
+    }
 }
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -204,6 +204,7 @@
                 store,
                 tokens,
                 mSettings.host(),
+                mSettings.domain(),
                 mSettings.peerAddress().map(URI::getAuthority),
                 mScheduler,
                 mScheduler,
