Changes in a silence of the store's connections are in force in time

Cause: the wait of a poll was stableWindow + maxChangeDelay - 1,500 ms, its timeout came 700 ms later, and only then the objects were listed. A poll that follows a batch of changes waited as long again, on a connection that may have gone silent before the batching.

FollowTimings derives all of it from the bounds in one place: from a response to the end of the next poll (batching included), 250 ms until the poll is overdue, 450 ms to connect, list and apply; together the stable window. The timeout of other calls leaves room for one repetition.

A calm watch calls each 2.3 s instead of 3.5 s (bounds 2,000 and 3,000 ms), 3.3 s instead of 5.5 s (3,000 and 4,000), 4.3 s instead of 7.5 s.

WatchPacingTest gives the bounds instead of the sum of them, and the new waits; its batching delays are unchanged.

--- a/core/src/main/java/org/amaranthpick/core/store/StoreFollower.java
+++ b/core/src/main/java/org/amaranthpick/core/store/StoreFollower.java
@@ -15,7 +15,7 @@
  */
 public final class StoreFollower implements AutoCloseable {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-    private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(100);
+    static final Duration MIN_RETRY_DELAY = Duration.ofMillis(100);
     private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(1);
 
     private final ObjectStore mStore;
--- a/core/src/main/java/org/amaranthpick/core/store/WatchPacing.java
+++ b/core/src/main/java/org/amaranthpick/core/store/WatchPacing.java
@@ -16,27 +16,16 @@
     private static final Duration CALM_BATCHING_DELAY = Duration.ofMillis(250);
     private static final Duration BATCHING_DELAY_PER_DAEMON = Duration.ofMillis(30);
 
-    /** Fraction of the maximum change delay for batching; the rest is for the call and retries. */
-    private static final double MAX_BATCHING_FRACTION = 0.45;
-
-    /** Time of the silence limit that is left for the call after a poll without a response. */
-    private static final Duration REPLACEMENT_MARGIN = Duration.ofMillis(1500);
-
-    private final Duration mMaxBatchingDelay;
-    private final Duration mPollTimeout;
+    private final FollowTimings mTimings;
     private int mDaemons = INITIAL_DAEMONS;
 
     /**
      * Creates the pacing of the watches of a daemon.
      *
-     * @param maxChangeDelay time within which a change must take effect
-     * @param maxSilence time within which a watch must be replaced whose connection has gone
-     *     silent; bounds the timeout of its polls
+     * @param timings times derived from the bounds of the deployment
      */
-    public WatchPacing(Duration maxChangeDelay, Duration maxSilence) {
-        mMaxBatchingDelay =
-                Duration.ofMillis((long) (maxChangeDelay.toMillis() * MAX_BATCHING_FRACTION));
-        mPollTimeout = maxSilence.minus(REPLACEMENT_MARGIN);
+    public WatchPacing(FollowTimings timings) {
+        mTimings = timings;
     }
 
     /**
@@ -55,22 +44,23 @@
      * @return time for which further changes are batched
      */
     public Duration batchingDelay(Duration sinceLastChanges) {
-        if (sinceLastChanges.compareTo(mMaxBatchingDelay.multipliedBy(2)) > 0) {
+        Duration maxDelay = mTimings.maxBatching();
+        if (sinceLastChanges.compareTo(maxDelay.multipliedBy(2)) > 0) {
             return CALM_BATCHING_DELAY;
         }
         Duration scaled = BATCHING_DELAY_PER_DAEMON.multipliedBy(mDaemons);
         if (scaled.compareTo(CALM_BATCHING_DELAY) < 0) {
             return CALM_BATCHING_DELAY;
         }
-        return scaled.compareTo(mMaxBatchingDelay) > 0 ? mMaxBatchingDelay : scaled;
+        return scaled.compareTo(maxDelay) > 0 ? maxDelay : scaled;
     }
 
     /**
-     * Returns the timeout of a long poll, for which the store waits for changes.
+     * Returns the times derived from the bounds of the deployment.
      *
-     * @return timeout of the poll
+     * @return times
      */
-    public Duration pollTimeout() {
-        return mPollTimeout;
+    public FollowTimings timings() {
+        return mTimings;
     }
 }
--- a/core/src/test/java/org/amaranthpick/core/store/WatchPacingTest.java
+++ b/core/src/test/java/org/amaranthpick/core/store/WatchPacingTest.java
@@ -12,34 +12,37 @@
 class WatchPacingTest {
     @ParameterizedTest
     @CsvSource({
-        "1,2000,5000,250,3500",
-        "13,2000,5000,390,3500",
-        "20,4000,9000,600,7500",
-        "95,4000,9000,1800,7500",
-        "146,2000,5000,900,3500",
-        "100,3000,7000,1350,5500",
-        "1000,3000,7000,1350,5500",
-        "13,2000,4000,390,2500"
+        "1,2000,3000,250,2300",
+        "13,2000,3000,390,2300",
+        "20,4000,5000,600,4300",
+        "95,4000,5000,1800,4300",
+        "146,2000,3000,900,2300",
+        "100,3000,4000,1350,3300",
+        "1000,3000,4000,1350,3300",
+        "13,2000,2000,390,1300"
     })
     void pollsLessOftenInLargerFleetsWithinLimits(
             int daemons,
             long maxChangeDelayMs,
-            long maxSilenceMs,
+            long stableWindowMs,
             long batchingDelayMs,
-            long pollTimeoutMs) {
+            long pollWaitMs) {
         WatchPacing pacing =
                 new WatchPacing(
-                        Duration.ofMillis(maxChangeDelayMs), Duration.ofMillis(maxSilenceMs));
+                        FollowTimings.of(
+                                Duration.ofMillis(maxChangeDelayMs),
+                                Duration.ofMillis(stableWindowMs)));
         pacing.setDaemonCount(daemons);
         assertEquals(batchingDelayMs, pacing.batchingDelay(Duration.ofMillis(300)).toMillis());
-        assertEquals(pollTimeoutMs, pacing.pollTimeout().toMillis());
+        assertEquals(pollWaitMs, pacing.timings().pollWait(Duration.ZERO).toMillis());
     }
 
     /** A change after a calm, such as a new configuration, is followed at once in any fleet. */
     @ParameterizedTest
     @ValueSource(ints = {1, 13, 95, 440})
     void aChangeAfterACalmIsNotBatchedForLong(int daemons) {
-        WatchPacing pacing = new WatchPacing(Duration.ofSeconds(4), Duration.ofSeconds(9));
+        WatchPacing pacing =
+                new WatchPacing(FollowTimings.of(Duration.ofSeconds(4), Duration.ofSeconds(5)));
         pacing.setDaemonCount(daemons);
         assertEquals(250, pacing.batchingDelay(Duration.ofSeconds(10)).toMillis());
     }
@@ -47,14 +50,16 @@
     /** After a power cut all daemons start at once, before they can count each other. */
     @Test
     void manyDaemonsAreAssumedUntilTheyAreCounted() {
-        WatchPacing pacing = new WatchPacing(Duration.ofSeconds(4), Duration.ofSeconds(9));
+        WatchPacing pacing =
+                new WatchPacing(FollowTimings.of(Duration.ofSeconds(4), Duration.ofSeconds(5)));
         assertEquals(1200, pacing.batchingDelay(Duration.ofMillis(100)).toMillis());
     }
 
     /** While engines come and go all the time, a daemon calls about once in 1.8 s. */
     @Test
     void aStormOfChangesCostsOneCallForEachBatch() {
-        WatchPacing pacing = new WatchPacing(Duration.ofSeconds(4), Duration.ofSeconds(9));
+        WatchPacing pacing =
+                new WatchPacing(FollowTimings.of(Duration.ofSeconds(4), Duration.ofSeconds(5)));
         pacing.setDaemonCount(95);
         int calls = 0;
         Duration sinceLast = Duration.ofSeconds(20);
