Kept connections hold nothing of requests that have ended

Cause: each request added a close listener to its connection; Undertow keeps these until the connection closes, and with each the exchange, its body and its attempt. The same between daemons (RelayedExchange) and on the product's own interface (ModelCallHandler, ServiceCallHandler).

ConnectionWatch is the one close listener of a connection. It knows the request in progress only, and forgets it when the request ends. On the product's own interface the watch now starts before the request is submitted, since an exchange may end during that call.

--- a/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
@@ -56,8 +56,8 @@
     private final ChainLoadBalancer mLoadBalancer;
     private final Map<String, Integer> mPlainInProgress = new HashMap<>();
     private final Map<String, Integer> mModelInProgress = new HashMap<>();
-    private final Map<String, CachedChains> mCachedChains = new HashMap<>();
-    private final Map<String, CapacityLossAdmission> mAdmissions = new HashMap<>();
+    private final Map<String, CachedChains> mCachedChains = new RecentServices<>();
+    private final Map<String, CapacityLossAdmission> mAdmissions = new RecentServices<>();
     private final IntSupplier mDaemons;
 
     /**
--- a/core/src/main/java/org/amaranthpick/core/reach/UpstreamPaths.java
+++ b/core/src/main/java/org/amaranthpick/core/reach/UpstreamPaths.java
@@ -80,7 +80,9 @@
         if (mBroken.size() < MAX_BROKEN_PATHS && mBroken.add(id)) {
             sLogger.atInfo().log("path: upstream=%s broken, another daemon reaches it", id);
         }
-        mBrokenInARow.add(id);
+        if (mBrokenInARow.size() < MAX_BROKEN_PATHS) {
+            mBrokenInARow.add(id);
+        }
         onFailed(id);
     }
 
@@ -90,7 +92,9 @@
      * @param id id of the upstream
      */
     public void onFailed(String id) {
-        mFailedInARow.add(id);
+        if (mFailedInARow.size() < MAX_BROKEN_PATHS) {
+            mFailedInARow.add(id);
+        }
         boolean partitioned =
                 mBrokenInARow.size() >= BROKEN_PATHS_OF_PARTITION
                         || mFailedInARow.size() >= FAILURES_OF_PARTITION;
--- a/server/src/main/java/org/amaranthpick/server/caller/ModelCallHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/caller/ModelCallHandler.java
@@ -79,6 +79,7 @@
     private void submit(HttpServerExchange exchange, ModelRequest request, ModelCall call) {
         String requestId = request.requestId();
         AnswerFormat format = new AnswerFormat(requestId, call, mContext.scheduler().instant());
+        CallerWatch watch = CallerWatch.start(exchange);
         RequestHandle handle;
         if (call.stream()) {
             StreamedAnswer answer =
@@ -89,7 +90,7 @@
         } else {
             handle = mRouter.submit(request, new WholeAnswer(exchange, requestId, format));
         }
-        exchange.getConnection().addCloseListener(connection -> handle.cancel());
+        watch.attach(handle);
     }
 
     private static PipelineSpec pipeline(
--- a/server/src/main/java/org/amaranthpick/server/caller/ServiceCallHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/caller/ServiceCallHandler.java
@@ -15,7 +15,6 @@
 import org.amaranthpick.core.manifest.WorkspaceSpec;
 import org.amaranthpick.core.name.ResourceKind;
 import org.amaranthpick.core.request.RefusalReason;
-import org.amaranthpick.core.request.RequestHandle;
 import org.amaranthpick.core.request.Router;
 import org.amaranthpick.core.request.ServiceRequest;
 import org.amaranthpick.core.upstream.ServiceCall;
@@ -81,8 +80,8 @@
                             options.deadline(),
                             idempotent,
                             options.idempotencyKey());
-            RequestHandle handle = mRouter.submit(request, new ServiceAnswer(exchange, requestId));
-            exchange.getConnection().addCloseListener(connection -> handle.cancel());
+            CallerWatch watch = CallerWatch.start(exchange);
+            watch.attach(mRouter.submit(request, new ServiceAnswer(exchange, requestId)));
         } catch (FaultException e) {
             mContext.refuse(exchange, requestId, e.fault());
         }
--- a/server/src/main/java/org/amaranthpick/server/gateway/DisconnectDetector.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/DisconnectDetector.java
@@ -5,6 +5,8 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
+import org.amaranthpick.core.time.Cancellable;
+import org.amaranthpick.server.http.ConnectionWatch;
 import org.xnio.ChannelListener;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
@@ -19,6 +21,7 @@
     private final HttpServerConnection mConnection;
     private final ConduitStreamSourceChannel mChannel;
     private final Runnable mOnDisconnect;
+    private Cancellable mCloseWatch = () -> {};
     private boolean mStopped;
 
     private DisconnectDetector(HttpServerConnection connection, Runnable onDisconnect) {
@@ -31,7 +34,7 @@
     static DisconnectDetector start(HttpServerExchange exchange, Runnable onDisconnect) {
         HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
         DisconnectDetector detector = new DisconnectDetector(connection, onDisconnect);
-        connection.addCloseListener(closed -> detector.onDisconnect());
+        detector.mCloseWatch = ConnectionWatch.start(connection, detector::onDisconnect);
         if (connection.getExtraBytes() == null) {
             // The body has been read, so the conduit that decoded its framing is no longer needed.
             detector.mChannel.setConduit(connection.getOriginalSourceConduit());
@@ -45,6 +48,7 @@
     void stop() {
         if (!mStopped) {
             mStopped = true;
+            mCloseWatch.cancel();
             mChannel.suspendReads();
         }
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/RetryBudgets.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RetryBudgets.java
@@ -1,14 +1,14 @@
 package org.amaranthpick.server.gateway;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
+import org.amaranthpick.core.gateway.RecentServices;
 import org.amaranthpick.core.gateway.RetryBudget;
 
 /** Retry budget of each service. Confined to one thread. */
 final class RetryBudgets {
-    private final Map<String, RetryBudget> mByService = new HashMap<>();
+    private final Map<String, RetryBudget> mByService = new RecentServices<>();
     private final double mRatio;
     private final DoubleSupplier mExtra;
     private final Duration mWindow;
--- a/server/src/main/java/org/amaranthpick/server/http/HostPool.java
+++ b/server/src/main/java/org/amaranthpick/server/http/HostPool.java
@@ -13,6 +13,7 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthpick.core.time.Scheduler;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -37,7 +38,7 @@
     private final ConnectorCounters mCounters;
     private final Deque<Idle> mIdle = new ArrayDeque<>();
     private final Deque<Taker> mWaiting = new ArrayDeque<>();
-    private int mOpen;
+    private final AtomicInteger mOpen = new AtomicInteger();
     private boolean mSweepPlanned;
     private boolean mClosed;
 
@@ -90,6 +91,11 @@
         }
     }
 
+    /** Returns whether no connection is open or being opened, and so none is waited for. */
+    boolean isUnused() {
+        return mOpen.get() == 0;
+    }
+
     ConnectorCounters counters() {
         return mCounters;
     }
@@ -118,7 +124,7 @@
     void acquireFresh(Taker taker) {
         if (mClosed) {
             taker.onNoConnection("the client is closed");
-        } else if (mOpen < mSettings.maxConnections()) {
+        } else if (mOpen.get() < mSettings.maxConnections()) {
             connect(taker);
         } else if (!mIdle.isEmpty()) {
             mWaiting.addFirst(taker);
@@ -185,7 +191,7 @@
     }
 
     private void connect(Taker taker) {
-        mOpen++;
+        mOpen.incrementAndGet();
         ClientCallback<ClientConnection> callback =
                 new ClientCallback<>() {
                     @Override
@@ -213,19 +219,19 @@
 
     private void onOpenFailed(IOException e, Taker taker) {
         mCounters.countFailed();
-        mOpen--;
+        mOpen.decrementAndGet();
         taker.onNoConnection("no connection: " + Failures.text(e));
         serveWaiting();
     }
 
     private void onClosed() {
-        mOpen--;
+        mOpen.decrementAndGet();
         mIdle.removeIf(idle -> !idle.connection().isOpen());
         serveWaiting();
     }
 
     private void serveWaiting() {
-        while (!mClosed && !mWaiting.isEmpty() && mOpen < mSettings.maxConnections()) {
+        while (!mClosed && !mWaiting.isEmpty() && mOpen.get() < mSettings.maxConnections()) {
             connect(mWaiting.pollFirst());
         }
     }
--- a/server/src/main/java/org/amaranthpick/server/http/HttpConnector.java
+++ b/server/src/main/java/org/amaranthpick/server/http/HttpConnector.java
@@ -18,6 +18,9 @@
     private static final int MAX_POOLED_BUFFERS = 1024;
     private static final int BUFFERS_PER_THREAD = 12;
 
+    /** Pools from which on those without connections are forgotten: addresses come and go. */
+    private static final int MAX_UNUSED_POOLS = 1024;
+
     private final XnioWorker mWorker;
     private final Scheduler mScheduler;
     private final ConnectorSettings mSettings;
@@ -103,10 +106,18 @@
         mPools.values().forEach(HostPool::close);
     }
 
+    /**
+     * Returns the pool of an address. A call that has just got an unused pool which is forgotten
+     * here keeps it until it ends.
+     */
     private HostPool pool(URI address) {
+        String key = poolKey(address);
+        if (mPools.size() >= MAX_UNUSED_POOLS && !mPools.containsKey(key)) {
+            mPools.values().removeIf(HostPool::isUnused);
+        }
         return mPools.computeIfAbsent(
-                poolKey(address),
-                key ->
+                key,
+                unknown ->
                         new HostPool(
                                 address,
                                 mWorker.getIoThread(),
@@ -116,6 +127,11 @@
                                 mCounters));
     }
 
+    /** Returns the number of pools. */
+    int poolCount() {
+        return mPools.size();
+    }
+
     private static String poolKey(URI address) {
         return address.getScheme() + "://" + address.getAuthority();
     }
