Copies of layers wait for the loads of missing layers

Callers saw most requests refused for seconds after engines were lost: the holder of the lease ordered missing layers and further copies at the same time, and loads share the bandwidth of the weight store (loads_at_once, not decoded so far), so that the copies delayed the chains. LoadSchedule sends orders by urgency: layers that no engine holds, layers that a domain lacks, copies; copies only within the store's bandwidth. While nothing is held at all, before the first traffic, all loads begin at once as before. The time after which an order is repeated allows for the shared bandwidth.

--- a/core/src/main/java/org/amaranthpick/core/gateway/EngineModel.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/EngineModel.java
@@ -1,6 +1,8 @@
 package org.amaranthpick.core.gateway;
 
+import java.time.Duration;
 import java.util.Map;
+import java.util.OptionalInt;
 import org.amaranthpick.core.manifest.LayerRange;
 import org.amaranthpick.core.register.UpstreamEntry;
 
@@ -18,6 +20,8 @@
  * @param usualPromptTokens mean length of prompts, in tokens
  * @param usualAnswerTokens mean length of answers, in tokens
  * @param loadSeconds time to load all layers, in seconds
+ * @param maxParallelLoads loads that the weight store serves at full speed at the same time; more
+ *     share its bandwidth; empty if there is no such limit
  * @param activationBytes size of the activations of one token between two stages, in bytes
  * @param pipeMbps shared bandwidth between two failure domains, in Mbit/s
  * @param tokensPerEvent tokens in one event of a stream
@@ -35,6 +39,7 @@
         int usualPromptTokens,
         int usualAnswerTokens,
         double loadSeconds,
+        OptionalInt maxParallelLoads,
         double activationBytes,
         double pipeMbps,
         int tokensPerEvent,
@@ -46,6 +51,20 @@
         cards = Map.copyOf(cards);
     }
 
+    /**
+     * Predicts the time of a load.
+     *
+     * @param newLayers layers to load
+     * @param parallelLoads loads that run at the same time, with this one
+     * @return time
+     */
+    public Duration loadTime(int newLayers, int parallelLoads) {
+        double slowdown =
+                Math.max(1, (double) parallelLoads / maxParallelLoads.orElse(parallelLoads));
+        double seconds = loadSeconds * newLayers / layers * slowdown;
+        return Duration.ofMillis((long) (1000 * seconds));
+    }
+
     /**
      * Computes the KV cache of one layer for a number of tokens.
      *
--- a/core/src/main/java/org/amaranthpick/core/layers/LayerOrder.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerOrder.java
@@ -7,6 +7,7 @@
  *
  * @param engineId id of the engine
  * @param layers layers to hold
- * @param reason purpose of the order, for the log
+ * @param purpose what the load is for
+ * @param reason how the order came about, for the log
  */
-public record LayerOrder(String engineId, LayerRange layers, String reason) {}
+public record LayerOrder(String engineId, LayerRange layers, LoadPurpose purpose, String reason) {}
--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlacementController.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlacementController.java
@@ -62,7 +62,11 @@
     private record KnownOrderCount(long startedAtMs, long ordersBegun) {}
 
     /** Order in progress; if it has no layers, a wait after a refused order. */
-    private record PendingOrder(Optional<LayerRange> layers, long startedAtMs, long untilNs) {}
+    private record PendingOrder(
+            Optional<LayerRange> layers, LoadPurpose purpose, long startedAtMs, Times times) {}
+
+    /** Predicted end of the load, and time from which the engine may be ordered again. */
+    private record Times(long loadedNs, long untilNs) {}
 
     /**
      * Creates a controller without pending orders.
@@ -114,7 +118,7 @@
                             Optional<UpstreamEntry> entry = mRegister.findById(e.getKey());
                             PendingOrder pending = e.getValue();
                             return entry.isEmpty()
-                                    || nowNs >= pending.untilNs()
+                                    || nowNs >= pending.times().untilNs()
                                     || entry.get().startedAtMs() != pending.startedAtMs()
                                     || (pending.layers().isPresent()
                                             && entry.get().layers().equals(pending.layers()));
@@ -139,10 +143,34 @@
                             entry.id(), entry.domain(), card, layers, pending == null));
         }
         trackMembers(service, nowNs);
-        for (LayerOrder order :
-                new LayerPlanner(model).plan(engines, domain -> isStable(service, domain, nowNs))) {
-            mRegister.findById(order.engineId()).ifPresent(e -> issue(e, order, model, lease));
+        List<LayerOrder> planned =
+                new LayerPlanner(model).plan(engines, domain -> isStable(service, domain, nowNs));
+        boolean nothingHeld =
+                mRegister.findByService(service).stream().allMatch(e -> e.layers().isEmpty());
+        List<LayerOrder> orders =
+                nothingHeld
+                        ? planned
+                        : LoadSchedule.select(planned, loadsInProgress(engines, nowNs), model);
+        int parallelLoads =
+                nothingHeld ? 1 : loadsInProgress(engines, nowNs).size() + orders.size();
+        for (LayerOrder order : orders) {
+            mRegister
+                    .findById(order.engineId())
+                    .ifPresent(e -> issue(e, order, model, parallelLoads, lease));
+        }
+    }
+
+    private List<LoadPurpose> loadsInProgress(List<EngineLayerState> engines, long nowNs) {
+        List<LoadPurpose> purposes = new ArrayList<>();
+        for (EngineLayerState engine : engines) {
+            PendingOrder pending = mPending.get(engine.id());
+            if (pending != null
+                    && pending.layers().isPresent()
+                    && nowNs < pending.times().loadedNs()) {
+                purposes.add(pending.purpose());
+            }
         }
+        return purposes;
     }
 
     private void trackMembers(String service, long nowNs) {
@@ -164,18 +192,22 @@
         return members != null && nowNs - members.sinceNs() >= STABILITY_PERIOD.toNanos();
     }
 
-    private void issue(UpstreamEntry engine, LayerOrder order, EngineModel model, Lease lease) {
-        Duration loadTime =
-                Duration.ofMillis(
-                        (long)
-                                (1000
-                                        * model.loadSeconds()
-                                        * order.layers().size()
-                                        / model.layers()));
-        long untilNs = mScheduler.monotonicNs() + loadTime.plus(ORDER_TIMEOUT_SLACK).toNanos();
+    private void issue(
+            UpstreamEntry engine,
+            LayerOrder order,
+            EngineModel model,
+            int parallelLoads,
+            Lease lease) {
+        long loadedNs =
+                mScheduler.monotonicNs()
+                        + model.loadTime(order.layers().size(), parallelLoads).toNanos();
         mPending.put(
                 engine.id(),
-                new PendingOrder(Optional.of(order.layers()), engine.startedAtMs(), untilNs));
+                new PendingOrder(
+                        Optional.of(order.layers()),
+                        order.purpose(),
+                        engine.startedAtMs(),
+                        new Times(loadedNs, loadedNs + ORDER_TIMEOUT_SLACK.toNanos())));
         Optional<Long> ordersBegun = knownOrdersBegun(engine);
         if (ordersBegun.isEmpty()) {
             queryOrdersBegun(engine, () -> send(engine, order, lease));
@@ -226,7 +258,12 @@
         } else if (!(outcome instanceof OrderOutcome.Unknown)) {
             long untilNs = mScheduler.monotonicNs() + REFUSAL_BACKOFF.toNanos();
             mPending.put(
-                    engine.id(), new PendingOrder(Optional.empty(), engine.startedAtMs(), untilNs));
+                    engine.id(),
+                    new PendingOrder(
+                            Optional.empty(),
+                            LoadPurpose.COPY,
+                            engine.startedAtMs(),
+                            new Times(untilNs, untilNs)));
             queryOrdersBegun(engine, () -> {});
         }
     }
--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import org.amaranthpick.core.gateway.EngineModel;
 import org.amaranthpick.core.manifest.LayerRange;
 
@@ -61,7 +62,21 @@
         for (List<EngineLayerState> group : groupByDomain(engines)) {
             planGroup(group, stable, orders);
         }
-        return orders;
+        int[] holders = countHolders(engines);
+        return orders.stream().map(order -> withFleetPurpose(order, holders)).toList();
+    }
+
+    private static LayerOrder withFleetPurpose(LayerOrder order, int[] holders) {
+        boolean missing =
+                IntStream.range(order.layers().from(), order.layers().to())
+                        .anyMatch(layer -> holders[layer] == 0);
+        return missing
+                ? new LayerOrder(
+                        order.engineId(),
+                        order.layers(),
+                        LoadPurpose.MISSING_EVERYWHERE,
+                        order.reason())
+                : order;
     }
 
     private List<List<EngineLayerState>> groupByDomain(List<EngineLayerState> engines) {
@@ -123,10 +138,14 @@
     private LayerOrder order(
             EngineLayerState engine, int from, int size, int[] holders, String reason) {
         int to = Math.min(from + size, mModel.layers());
+        LoadPurpose purpose = LoadPurpose.COPY;
         for (int layer = from; layer < to; layer++) {
+            if (holders[layer] == 0) {
+                purpose = LoadPurpose.MISSING_IN_DOMAIN;
+            }
             holders[layer]++;
         }
-        return new LayerOrder(engine.id(), new LayerRange(from, to), reason);
+        return new LayerOrder(engine.id(), new LayerRange(from, to), purpose, reason);
     }
 
     /** Returns the token latency of one layer on an engine, with its share of the transfer. */
@@ -233,7 +252,10 @@
             holders[layer]++;
         }
         return new LayerOrder(
-                engine.id(), new LayerRange(from, to), "missing layers, added to adjacent ones");
+                engine.id(),
+                new LayerRange(from, to),
+                LoadPurpose.MISSING_IN_DOMAIN,
+                "missing layers, added to adjacent ones");
     }
 
     private static boolean canBeOrdered(EngineLayerState engine, Map<String, Boolean> ordered) {
--- a/core/src/test/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicyTest.java
+++ b/core/src/test/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicyTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.amaranthpick.core.manifest.LayerRange;
@@ -36,6 +37,7 @@
                     100,
                     50,
                     1,
+                    OptionalInt.empty(),
                     1,
                     1000,
                     1,
--- a/core/src/test/java/org/amaranthpick/core/layers/LayerFixture.java
+++ b/core/src/test/java/org/amaranthpick/core/layers/LayerFixture.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.amaranthpick.core.gateway.CardKind;
 import org.amaranthpick.core.gateway.EngineModel;
 import org.amaranthpick.core.manifest.LayerRange;
@@ -23,8 +24,22 @@
 
     static EngineModel model() {
         return new EngineModel(
-                80, 1750, 845_373, 134, 0.85, 0.0055, 0.0073, 196_000, 772, 174, 14, 42_268, 11_000,
-                2, CARDS);
+                80,
+                1750,
+                845_373,
+                134,
+                0.85,
+                0.0055,
+                0.0073,
+                196_000,
+                772,
+                174,
+                14,
+                OptionalInt.of(3),
+                42_268,
+                11_000,
+                2,
+                CARDS);
     }
 
     /** Engines of three domains, each with memory for one to three copies of the model. */
--- a/standins/src/test/java/org/amaranthpick/standins/fleet/EmulatedFleetTest.java
+++ b/standins/src/test/java/org/amaranthpick/standins/fleet/EmulatedFleetTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import org.amaranthpick.core.gateway.CardKind;
 import org.amaranthpick.core.gateway.EngineModel;
 import org.amaranthpick.core.layers.ChainStage;
@@ -36,6 +37,7 @@
                     100,
                     50,
                     1,
+                    OptionalInt.empty(),
                     1,
                     1000,
                     1,
