Lost layers are replaced while other engines come and go

Callers were refused until the end of a disturbance: engines that hold layers get other ones only once the engines of their failure domain have been the same for 3 s, which during releases, scaling and crashes they never are. RepairDelay allows it also once layers have been missing for 3 s, unless an engine has come back with its layers in that time, as after a partition. A new holder of the lease waits as before, since it doesn't know the previous holder's last orders.

LayerPlacementController.STABILITY_PERIOD is now RepairDelay.PERIOD.

--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlacementController.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlacementController.java
@@ -4,11 +4,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.amaranthpick.core.gateway.CardKind;
@@ -34,13 +32,6 @@
     /** Time beyond the expected load after which an order without effect is sent again. */
     private static final Duration ORDER_TIMEOUT_SLACK = Duration.ofSeconds(4);
 
-    /**
-     * Time for which the engines of a domain must stay the same before engines that hold layers get
-     * other ones. Such an order stops the streams of the engine's chain, while engines that crashed
-     * or were partitioned mostly register again within this time.
-     */
-    public static final Duration STABILITY_PERIOD = Duration.ofSeconds(3);
-
     /** Wait before the next order to an engine that refused one. */
     private static final Duration REFUSAL_BACKOFF = Duration.ofSeconds(2);
 
@@ -52,12 +43,9 @@
     private final Scheduler mScheduler;
     private final Executor mExecutor;
     private final Map<String, PendingOrder> mPending = new HashMap<>();
-    private final Map<String, DomainMembers> mMembers = new HashMap<>();
+    private final Map<String, RepairDelay> mRepairDelays = new HashMap<>();
     private final Map<String, KnownOrderCount> mOrderCounts = new HashMap<>();
 
-    /** Engines of a domain, and the time since which this set has not changed. */
-    private record DomainMembers(Set<String> ids, long sinceNs) {}
-
     /** Last known number of orders that an engine has begun since its start. */
     private record KnownOrderCount(long startedAtMs, long ordersBegun) {}
 
@@ -101,7 +89,7 @@
         Optional<Lease> lease = mLease.held();
         if (lease.isEmpty() || mConfiguration.get().isEmpty()) {
             mPending.clear();
-            mMembers.clear();
+            mRepairDelays.clear();
             return;
         }
         removeFinishedOrders();
@@ -142,9 +130,14 @@
                     new EngineLayerState(
                             entry.id(), entry.domain(), card, layers, pending == null));
         }
-        trackMembers(service, nowNs);
+        LayerPlanner planner = new LayerPlanner(model);
+        RepairDelay delay = mRepairDelays.computeIfAbsent(service, s -> new RepairDelay());
+        delay.onMembers(mRegister.findByService(service), nowNs);
+        for (List<EngineLayerState> group : planner.groupByDomain(engines)) {
+            delay.onHolders(group, planner.countHolders(group), nowNs);
+        }
         List<LayerOrder> planned =
-                new LayerPlanner(model).plan(engines, domain -> isStable(service, domain, nowNs));
+                planner.plan(engines, domain -> delay.allowsRepair(domain, nowNs));
         boolean nothingHeld =
                 mRegister.findByService(service).stream().allMatch(e -> e.layers().isEmpty());
         List<LayerOrder> orders =
@@ -173,25 +166,6 @@
         return purposes;
     }
 
-    private void trackMembers(String service, long nowNs) {
-        Map<String, Set<String>> present = new HashMap<>();
-        for (UpstreamEntry entry : mRegister.findByService(service)) {
-            present.computeIfAbsent(entry.domain(), domain -> new HashSet<>()).add(entry.id());
-        }
-        present.forEach(
-                (domain, ids) -> {
-                    DomainMembers previous = mMembers.get(service + "/" + domain);
-                    if (previous == null || !previous.ids().equals(ids)) {
-                        mMembers.put(service + "/" + domain, new DomainMembers(ids, nowNs));
-                    }
-                });
-    }
-
-    private boolean isStable(String service, String domain, long nowNs) {
-        DomainMembers members = mMembers.get(service + "/" + domain);
-        return members != null && nowNs - members.sinceNs() >= STABILITY_PERIOD.toNanos();
-    }
-
     private void issue(
             UpstreamEntry engine,
             LayerOrder order,
--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
@@ -53,8 +53,8 @@
      * Computes the orders that move the held layers towards the planned placement.
      *
      * @param engines engines in service
-     * @param stable whether the engines of a failure domain have been the same for a while; where
-     *     they have not, only empty engines get orders, since lost engines may be back soon
+     * @param stable whether engines of a failure domain that hold layers may get other ones; where
+     *     they may not, only empty engines get orders, since lost engines may be back soon
      * @return orders to send now, at most one for each engine
      */
     public List<LayerOrder> plan(List<EngineLayerState> engines, Predicate<String> stable) {
@@ -79,7 +79,13 @@
                 : order;
     }
 
-    private List<List<EngineLayerState>> groupByDomain(List<EngineLayerState> engines) {
+    /**
+     * Divides engines into those whose failure domains hold copies together.
+     *
+     * @param engines engines in service
+     * @return a group for each domain with enough memory, and one of the other domains
+     */
+    List<List<EngineLayerState>> groupByDomain(List<EngineLayerState> engines) {
         Map<String, List<EngineLayerState>> byDomain = new LinkedHashMap<>();
         for (EngineLayerState engine : engines) {
             byDomain.computeIfAbsent(engine.domain(), d -> new ArrayList<>()).add(engine);
@@ -273,7 +279,13 @@
         return true;
     }
 
-    private int[] countHolders(List<EngineLayerState> group) {
+    /**
+     * Counts the engines that hold each layer.
+     *
+     * @param group engines
+     * @return number of engines by layer
+     */
+    int[] countHolders(List<EngineLayerState> group) {
         int[] holders = new int[mModel.layers()];
         for (EngineLayerState engine : group) {
             engine.layers()
--- /dev/null
+++ b/core/src/main/java/org/amaranthpick/core/layers/RepairDelay.java
@@ -0,0 +1,100 @@
+package org.amaranthpick.core.layers;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.amaranthpick.core.register.UpstreamEntry;
+
+/**
+ * Decides when engines of a failure domain that hold layers may get other ones. Such an order stops
+ * the streams of the engine's chain, while engines that crashed or were partitioned mostly register
+ * again within seconds. Designed for engines that come and go all the time under load: layers that
+ * stay missing are replaced however often the other engines change, unless engines are returning
+ * with their layers. A new holder of the lease begins anew, as it doesn't know the orders that the
+ * previous one has just sent.
+ */
+public final class RepairDelay {
+    /** Time for which layers must be missing, or the engines of a domain must stay the same. */
+    public static final Duration PERIOD = Duration.ofSeconds(3);
+
+    private final Map<String, Domain> mDomains = new HashMap<>();
+
+    /** What is known of a failure domain. */
+    private static final class Domain {
+        private Set<String> mMembers = Set.of();
+        private long mChangedNs;
+        private long mReturnedNs;
+        private long[] mMissingSinceNs = new long[0];
+    }
+
+    /**
+     * Records the registered engines.
+     *
+     * @param registered all engines of the service, also those that get no orders
+     * @param nowNs monotonic time
+     */
+    void onMembers(Collection<UpstreamEntry> registered, long nowNs) {
+        Map<String, Set<String>> present = new HashMap<>();
+        for (UpstreamEntry entry : registered) {
+            present.computeIfAbsent(entry.domain(), domain -> new HashSet<>()).add(entry.id());
+            Domain domain = mDomains.computeIfAbsent(entry.domain(), name -> new Domain());
+            if (entry.layers().isPresent() && !domain.mMembers.contains(entry.id())) {
+                domain.mReturnedNs = nowNs;
+            }
+        }
+        mDomains.forEach(
+                (name, domain) -> {
+                    Set<String> members = present.getOrDefault(name, Set.of());
+                    if (!members.equals(domain.mMembers)) {
+                        domain.mMembers = members;
+                        domain.mChangedNs = nowNs;
+                    }
+                });
+    }
+
+    /**
+     * Records the layers that are held or ordered.
+     *
+     * @param group engines of the failure domains that hold copies together
+     * @param holders number of the group's engines that hold each layer
+     * @param nowNs monotonic time
+     */
+    void onHolders(List<EngineLayerState> group, int[] holders, long nowNs) {
+        Set<String> names = new HashSet<>();
+        group.forEach(engine -> names.add(engine.domain()));
+        for (String name : names) {
+            Domain domain = mDomains.computeIfAbsent(name, n -> new Domain());
+            long[] sinceNs = domain.mMissingSinceNs;
+            domain.mMissingSinceNs = new long[holders.length];
+            for (int layer = 0; layer < holders.length; layer++) {
+                boolean known = layer < sinceNs.length && holders[layer] == 0;
+                domain.mMissingSinceNs[layer] = known ? sinceNs[layer] : nowNs;
+            }
+        }
+    }
+
+    /**
+     * Checks whether engines of a domain that hold layers may get other ones.
+     *
+     * @param name name of the failure domain
+     * @param nowNs monotonic time
+     * @return true if its engines have been the same for a while, or layers have been missing for
+     *     as long and no engine has returned with its layers meanwhile
+     */
+    boolean allowsRepair(String name, long nowNs) {
+        Domain domain = mDomains.get(name);
+        if (domain == null) {
+            return false;
+        }
+        long sinceNs = nowNs - PERIOD.toNanos();
+        boolean missingLong = false;
+        for (long missingSinceNs : domain.mMissingSinceNs) {
+            missingLong |= missingSinceNs <= sinceNs;
+        }
+        return domain.mChangedNs <= sinceNs || (missingLong && domain.mReturnedNs <= sinceNs);
+    }
+}
--- a/core/src/test/java/org/amaranthpick/core/layers/LayerPlacementControllerTest.java
+++ b/core/src/test/java/org/amaranthpick/core/layers/LayerPlacementControllerTest.java
@@ -145,6 +145,34 @@
         assertEquals(orders, mEngines.mOrders.size());
     }
 
+    /** During a release or a scale-out under load the set of engines changes every second. */
+    @Test
+    void lostLayersAreReplacedWhileOtherEnginesKeepJoining() {
+        register(Map.of());
+        run(Duration.ofSeconds(14));
+        register(mEngines.mHeld);
+        run(Duration.ofSeconds(4));
+        int orders = mEngines.mOrders.size();
+        mRegister.remove("b-mid-0", mScheduler.monotonicNs());
+        UpstreamEntry other = mRegister.findById("b-tiny-0").get();
+        for (int i = 0; i < 5; i++) {
+            mRegister.put(
+                    new UpstreamEntry(
+                            "new-" + i,
+                            "llm",
+                            other.address(),
+                            "b",
+                            false,
+                            134,
+                            Optional.of("unknown"),
+                            Optional.empty(),
+                            1,
+                            0));
+            run(Duration.ofSeconds(1));
+        }
+        assertTrue(mEngines.mOrders.size() > orders);
+    }
+
     @Test
     void aHigherFencingTokenEndsTheLeaseAtOnce() {
         register(Map.of());
--- a/tools/src/main/java/org/amaranthpick/tools/experiment/PlacementLoop.java
+++ b/tools/src/main/java/org/amaranthpick/tools/experiment/PlacementLoop.java
@@ -11,8 +11,8 @@
 import org.amaranthpick.core.gateway.EngineModel;
 import org.amaranthpick.core.layers.EngineLayerState;
 import org.amaranthpick.core.layers.LayerOrder;
-import org.amaranthpick.core.layers.LayerPlacementController;
 import org.amaranthpick.core.layers.LayerPlanner;
+import org.amaranthpick.core.layers.RepairDelay;
 import org.amaranthpick.core.manifest.LayerRange;
 import org.amaranthpick.core.register.UpstreamEntry;
 import org.amaranthpick.core.register.UpstreamRegister;
@@ -78,12 +78,7 @@
         long stableNs = mScheduler.monotonicNs() - mMembersSinceNs;
         for (LayerOrder order :
                 new LayerPlanner(mModel)
-                        .plan(
-                                states,
-                                domain ->
-                                        stableNs
-                                                >= LayerPlacementController.STABILITY_PERIOD
-                                                        .toNanos())) {
+                        .plan(states, domain -> stableNs >= RepairDelay.PERIOD.toNanos())) {
             load(order);
         }
         mScheduler.schedule(PERIOD, this::step);
