--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import org.amaranthpick.core.gateway.EngineModel;
 import org.amaranthpick.core.manifest.LayerRange;
 
@@ -52,8 +53,8 @@
      * Computes the orders that move the held layers towards the planned placement.
      *
      * @param engines engines in service
-     * @param stable whether the engines of a failure domain have been the same for a while; where
-     *     they have not, only empty engines get orders, since lost engines may be back soon
+     * @param stable whether engines of a failure domain that hold layers may get other ones; where
+     *     they may not, only empty engines get orders, since lost engines may be back soon
      * @return orders to send now, at most one for each engine
      */
     public List<LayerOrder> plan(List<EngineLayerState> engines, Predicate<String> stable) {
@@ -61,10 +62,30 @@
         for (List<EngineLayerState> group : groupByDomain(engines)) {
             planGroup(group, stable, orders);
         }
-        return orders;
+        int[] holders = countHolders(engines);
+        return orders.stream().map(order -> withFleetPurpose(order, holders)).toList();
     }
 
-    private List<List<EngineLayerState>> groupByDomain(List<EngineLayerState> engines) {
+    private static LayerOrder withFleetPurpose(LayerOrder order, int[] holders) {
+        boolean missing =
+                IntStream.range(order.layers().from(), order.layers().to())
+                        .anyMatch(layer -> holders[layer] == 0);
+        return missing
+                ? new LayerOrder(
+                        order.engineId(),
+                        order.layers(),
+                        LoadPurpose.MISSING_EVERYWHERE,
+                        order.reason())
+                : order;
+    }
+
+    /**
+     * Divides engines into those whose failure domains hold copies together.
+     *
+     * @param engines engines in service
+     * @return a group for each domain with enough memory, and one of the other domains
+     */
+    List<List<EngineLayerState>> groupByDomain(List<EngineLayerState> engines) {
         Map<String, List<EngineLayerState>> byDomain = new LinkedHashMap<>();
         for (EngineLayerState engine : engines) {
             byDomain.computeIfAbsent(engine.domain(), d -> new ArrayList<>()).add(engine);
@@ -123,10 +144,14 @@
     private LayerOrder order(
             EngineLayerState engine, int from, int size, int[] holders, String reason) {
         int to = Math.min(from + size, mModel.layers());
+        LoadPurpose purpose = LoadPurpose.COPY;
         for (int layer = from; layer < to; layer++) {
+            if (holders[layer] == 0) {
+                purpose = LoadPurpose.MISSING_IN_DOMAIN;
+            }
             holders[layer]++;
         }
-        return new LayerOrder(engine.id(), new LayerRange(from, to), reason);
+        return new LayerOrder(engine.id(), new LayerRange(from, to), purpose, reason);
     }
 
     /** Returns the token latency of one layer on an engine, with its share of the transfer. */
@@ -233,7 +258,10 @@
             holders[layer]++;
         }
         return new LayerOrder(
-                engine.id(), new LayerRange(from, to), "missing layers, added to adjacent ones");
+                engine.id(),
+                new LayerRange(from, to),
+                LoadPurpose.MISSING_IN_DOMAIN,
+                "missing layers, added to adjacent ones");
     }
 
     private static boolean canBeOrdered(EngineLayerState engine, Map<String, Boolean> ordered) {
@@ -251,7 +279,13 @@
         return true;
     }
 
-    private int[] countHolders(List<EngineLayerState> group) {
+    /**
+     * Counts the engines that hold each layer.
+     *
+     * @param group engines
+     * @return number of engines by layer
+     */
+    int[] countHolders(List<EngineLayerState> group) {
         int[] holders = new int[mModel.layers()];
         for (EngineLayerState engine : group) {
             engine.layers()
