Room of chains by reports of their engines, shared among the daemons

In a fleet of many daemons each sees a small part of the requests, so that its own traffic doesn't show which engines are full. From 16 daemons on, the engines of a failure domain are queried once a second by one daemon for each group of 16, half as far apart while they are loaded; loads from a half on are told to all daemons, over the square root of their number. Two further daemons of each group take over after two and four seconds of silence. ChainLoadBalancer takes the room that is left in place of the memory of a chain where it is known.

--- a/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
@@ -17,6 +17,7 @@
 import org.amaranthpick.core.register.UpstreamEntry;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
+import org.amaranthpick.core.room.RoomView;
 
 /**
  * Chooses the least loaded target. For plain services, this is the upstream with the fewest
@@ -102,6 +103,7 @@
      * @param admission whether upstreams may get requests, by what they say themselves
      * @param domain failure domain of this daemon
      * @param daemons returns the number of daemons
+     * @param room how full the chains are
      * @param random source of the jitter
      */
     public LeastLoadedTargetPolicy(
@@ -110,6 +112,7 @@
             UpstreamAdmission admission,
             String domain,
             IntSupplier daemons,
+            RoomView room,
             RandomGenerator random) {
         mRegister = register;
         mHealth = health;
@@ -117,7 +120,7 @@
         mDaemons = daemons;
         mLocalDomain = domain;
         mRandom = random;
-        mLoadBalancer = new ChainLoadBalancer(mLatency, domain, random);
+        mLoadBalancer = new ChainLoadBalancer(mLatency, room, domain, random);
     }
 
     @Override
--- a/core/src/main/java/org/amaranthpick/core/layers/ChainLoadBalancer.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/ChainLoadBalancer.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.amaranthpick.core.room.RoomView;
 
 /**
  * Balances requests over chains by this daemon's requests in progress relative to the KV cache
@@ -17,7 +18,10 @@
  *
  * <p>In a fleet of many daemons each has hardly a request on any chain. A chain is then drawn about
  * in proportion to its memory, so that daemons which know nothing of each other don't all start
- * with the largest chain. Confined to one thread.
+ * with the largest chain.
+ *
+ * <p>Where it is known how full a chain is, the room that is left counts in place of its memory:
+ * the waves of callers of one failure domain then go to chains of others. Confined to one thread.
  */
 public final class ChainLoadBalancer {
     /** Requests added to the count of a remote chain, since a partition would break its streams. */
@@ -26,7 +30,11 @@
     /** Exponent of the token latency in the cost; below 1 so that memory outweighs latency. */
     private static final double LATENCY_EXPONENT = 0.3;
 
+    /** Least part of a chain's memory that counts as left, so that full chains can be compared. */
+    private static final double MIN_ROOM = 0.05;
+
     private final TokenLatencyEstimator mLatency;
+    private final RoomView mRoom;
     private final String mLocalDomain;
     private final RandomGenerator mRandom;
 
@@ -37,12 +45,17 @@
      * Creates a load balancer without requests in progress.
      *
      * @param latency expected token latency of the chains
+     * @param room how full the chains are
      * @param localDomain failure domain of this daemon
      * @param random source of the jitter
      */
     public ChainLoadBalancer(
-            TokenLatencyEstimator latency, String localDomain, RandomGenerator random) {
+            TokenLatencyEstimator latency,
+            RoomView room,
+            String localDomain,
+            RandomGenerator random) {
         mLatency = latency;
+        mRoom = room;
         mLocalDomain = localDomain;
         mRandom = random;
     }
@@ -89,7 +102,10 @@
         }
         double requestsPerToken =
                 requestsPerToken(chain) + ownRequests / Math.max(1, chain.kvCapacityTokens());
-        return requestsPerToken * Math.pow(mLatency.expectedMs(chain, nowNs), LATENCY_EXPONENT);
+        double room = Math.max(MIN_ROOM, 1 - mRoom.fill(chain, nowNs).orElse(0));
+        return requestsPerToken
+                / room
+                * Math.pow(mLatency.expectedMs(chain, nowNs), LATENCY_EXPONENT);
     }
 
     /** Returns the requests in progress for each token of memory at the most occupied engine. */
--- a/core/src/test/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicyTest.java
+++ b/core/src/test/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicyTest.java
@@ -18,6 +18,7 @@
 import org.amaranthpick.core.register.UpstreamEntry;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
+import org.amaranthpick.core.room.RoomView;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -50,7 +51,13 @@
     private final UpstreamAdmission mAdmission = new UpstreamAdmission(mRateLimits);
     private final LeastLoadedTargetPolicy mPolicy =
             new LeastLoadedTargetPolicy(
-                    mRegister, mHealth, mAdmission, "home", () -> 1, new SplittableRandom(2));
+                    mRegister,
+                    mHealth,
+                    mAdmission,
+                    "home",
+                    () -> 1,
+                    RoomView.unknown(),
+                    new SplittableRandom(2));
 
     /** Registers four chains of two engines each. */
     @BeforeEach
--- a/core/src/test/java/org/amaranthpick/core/layers/ChainLoadBalancerTest.java
+++ b/core/src/test/java/org/amaranthpick/core/layers/ChainLoadBalancerTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import org.amaranthpick.core.room.RoomView;
 import org.junit.jupiter.api.Test;
 
 class ChainLoadBalancerTest {
@@ -16,7 +17,7 @@
 
     private final TokenLatencyEstimator mLatency = new TokenLatencyEstimator();
     private final ChainLoadBalancer mLoadBalancer =
-            new ChainLoadBalancer(mLatency, "home", new SplittableRandom(3));
+            new ChainLoadBalancer(mLatency, RoomView.unknown(), "home", new SplittableRandom(3));
 
     /** Sends requests that never end, and counts them by chain. */
     private Map<String, Integer> sendRequests(List<EngineChain> chains, int requests) {
@@ -131,7 +132,8 @@
         Map<String, Integer> counts = new HashMap<>();
         for (int daemon = 0; daemon < 300; daemon++) {
             ChainLoadBalancer idle =
-                    new ChainLoadBalancer(mLatency, "home", new SplittableRandom(daemon));
+                    new ChainLoadBalancer(
+                            mLatency, RoomView.unknown(), "home", new SplittableRandom(daemon));
             EngineChain chain = idle.leastLoaded(chains, c -> false, 0).orElseThrow();
             counts.merge(chain.firstEngine().id(), 1, Integer::sum);
         }
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
@@ -60,10 +60,29 @@
 
     void start() {
         mContext.targetPolicy().onSent(mTarget);
+        recordRoomTaken();
         mContext.admission().onSent(mTarget.upstream(), mContext.scheduler().monotonicNs());
         mCall.start();
     }
 
+    private void recordRoomTaken() {
+        mRequest.service()
+                .model()
+                .ifPresent(
+                        model ->
+                                mTarget.chain()
+                                        .ifPresent(
+                                                chain ->
+                                                        mContext.room()
+                                                                .onSent(
+                                                                        chain,
+                                                                        model.usualPromptTokens()
+                                                                                + model
+                                                                                        .usualAnswerTokens(),
+                                                                        mContext.scheduler()
+                                                                                .monotonicNs())));
+    }
+
     Target target() {
         return mTarget;
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -80,6 +80,7 @@
     private final LayerPlacementController mLayerPlacement;
     private final HttpConnector mPeerConnector;
     private final UpstreamReach mReach;
+    private final RoomObservation mRoomObservation;
     private final PeerMessageLink<HealthNote[]> mHealthLink;
     private final PeerMessageLink<QuarantineMessage> mQuarantineLink;
     private final QuarantineGossip mQuarantineGossip;
@@ -150,15 +151,8 @@
         connectHealthGossip(register, health, rateLimits, admission.leaving());
         mReach = createReach(dialect, register, health, admission);
         EngineControl engineControl = mReach.obeyPauses(engines.apply(mReach.connector()));
-        mLayerPlacement =
-                new LayerPlacementController(
-                        mConfiguration::current,
-                        register,
-                        health,
-                        engineControl,
-                        mLease,
-                        scheduler,
-                        scheduler);
+        mRoomObservation = createRoomObservation(register, engineControl);
+        mLayerPlacement = createLayerPlacement(register, health, engineControl);
         PromptQuarantine quarantine = new PromptQuarantine();
         mQuarantineLink =
                 new PeerMessageLink<>(mPeerConnector, QUARANTINE_PATH, new TypeReference<>() {});
@@ -198,6 +192,24 @@
                 mRandom);
     }
 
+    private RoomObservation createRoomObservation(
+            UpstreamRegister register, EngineControl engines) {
+        return new RoomObservation(
+                mSettings,
+                mPeerConnector,
+                mDaemonCounter,
+                () -> RoomObservation.modelEngines(mConfiguration.current(), register),
+                engines,
+                mScheduler,
+                mRandom);
+    }
+
+    private LayerPlacementController createLayerPlacement(
+            UpstreamRegister register, UpstreamHealth health, EngineControl engines) {
+        return new LayerPlacementController(
+                mConfiguration::current, register, health, engines, mLease, mScheduler, mScheduler);
+    }
+
     private DaemonCounter createDaemonCounter(
             ObjectStore store, WriterTokens tokens, RandomGenerator random) {
         return new DaemonCounter(
@@ -271,7 +283,9 @@
                         admission,
                         mSettings.domain(),
                         mDaemonCounter::count,
+                        mRoomObservation.room(),
                         mRandom),
+                mRoomObservation.room(),
                 new CachingEngineControl(engines, mScheduler),
                 quarantine,
                 new CrashDetector(engines, quarantine, mScheduler),
@@ -328,9 +342,12 @@
     }
 
     private PathHandler messageHandler() {
-        return Handlers.path()
-                .addExactPath(mHealthLink.path(), mHealthLink)
-                .addExactPath(mQuarantineLink.path(), mQuarantineLink);
+        PathHandler messages =
+                Handlers.path()
+                        .addExactPath(mHealthLink.path(), mHealthLink)
+                        .addExactPath(mQuarantineLink.path(), mQuarantineLink);
+        mRoomObservation.addTo(messages);
+        return messages;
     }
 
     /**
@@ -400,6 +417,7 @@
         }
         boolean synced = mConfiguration.current().isPresent() && mRegisterFollower.isListed();
         mReach.step();
+        mRoomObservation.step();
         boolean candidate =
                 synced && mLeaseRank < CANDIDATE_RANKS && !mReach.isPartitionedForLong();
         if (mReach.isPartitionedForLong() && mLease.held().isPresent()) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
@@ -8,6 +8,7 @@
 import org.amaranthpick.core.register.UpstreamAdmission;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
+import org.amaranthpick.core.room.ReportedRoom;
 import org.amaranthpick.server.time.IoThreadScheduler;
 
 /**
@@ -22,6 +23,7 @@
  * @param health health of the upstreams as observed from the forwarded requests
  * @param admission whether upstreams may get requests, by what they say themselves
  * @param targetPolicy selects the target of each attempt
+ * @param room how full the chains are
  * @param engines queries engines for their state
  * @param quarantine requests and parts of prompts that crash upstreams
  * @param crashes finds out which engines have crashed
@@ -39,6 +41,7 @@
         UpstreamHealth health,
         UpstreamAdmission admission,
         LeastLoadedTargetPolicy targetPolicy,
+        ReportedRoom room,
         EngineControl engines,
         PromptQuarantine quarantine,
         CrashDetector crashes,
--- a/tools/src/main/java/org/amaranthpick/tools/experiment/PolicyKind.java
+++ b/tools/src/main/java/org/amaranthpick/tools/experiment/PolicyKind.java
@@ -8,6 +8,7 @@
 import org.amaranthpick.core.register.UpstreamAdmission;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
+import org.amaranthpick.core.room.RoomView;
 
 /** Ways to choose a chain: the gateway's own, and those it is compared with. */
 public enum PolicyKind {
@@ -46,6 +47,7 @@
                                             "", List::of, () -> 1, id -> true, random)),
                             domain,
                             () -> daemons,
+                            RoomView.unknown(),
                             random);
             case FIRST_COME -> BaselinePolicy.firstCome(chains);
             case LEAST_OUTSTANDING -> BaselinePolicy.leastOutstanding(chains, random);
