--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.google.common.flogger.FluentLogger;
 import io.undertow.Handlers;
-import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.PathHandler;
 import io.undertow.util.StatusCodes;
@@ -89,10 +88,6 @@
     private final WatchPacing mPacing;
     private final RandomGenerator mRandom;
     private int mLeaseRank;
-    private Undertow mCallerListener;
-    private Undertow mReadinessListener;
-    private Undertow mMetricsListener;
-    private Optional<Undertow> mPeerListener = Optional.empty();
     private boolean mDraining;
     private boolean mClosed;
     private boolean mQuarantineRequested;
@@ -325,16 +320,12 @@
         mRegisterStoreFollower.start();
         mDaemonCounter.start(this::onDaemonCount);
         mQuarantineRecords.load();
-        mReadinessListener = mListeners.start(mSettings.readinessAddress(), this::handleReadiness);
-        mCallerListener = mListeners.start(mSettings.callerAddress(), mHandler);
-        mMetricsListener = mListeners.start(mSettings.metricsAddress(), mMetrics::write);
-        mPeerListener =
-                mSettings
-                        .peerAddress()
-                        .map(
-                                address ->
-                                        mListeners.start(
-                                                address, mReach.handler(messageHandler())));
+        mListeners.start(mSettings.readinessAddress(), this::handleReadiness);
+        mListeners.start(mSettings.callerAddress(), mHandler);
+        mListeners.start(mSettings.metricsAddress(), mMetrics::write);
+        mSettings
+                .peerAddress()
+                .ifPresent(address -> mListeners.start(address, mReach.handler(messageHandler())));
         mScheduler.schedule(Duration.ZERO, this::runControlStep);
         sLogger.atInfo().log(
                 "start: host=%s domain=%s callers=%s",
@@ -442,10 +433,7 @@
         mDaemonCounter.close();
         mConfigurationStoreFollower.close();
         mRegisterStoreFollower.close();
-        mCallerListener.stop();
-        mReadinessListener.stop();
-        mMetricsListener.stop();
-        mPeerListener.ifPresent(Undertow::stop);
+        mListeners.close();
         mPeerConnector.close();
         mReach.close();
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayListeners.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayListeners.java
@@ -5,22 +5,25 @@
 import io.undertow.server.HttpHandler;
 import java.net.URI;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.xnio.XnioWorker;
 
 /** Opens the HTTP listeners of a gateway. */
-final class GatewayListeners {
+final class GatewayListeners implements AutoCloseable {
     /** Time after which an idle connection is closed. */
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
     private static final Duration HEADER_TIMEOUT = Duration.ofSeconds(10);
 
     private final XnioWorker mWorker;
+    private final List<Undertow> mStarted = new ArrayList<>();
 
     GatewayListeners(XnioWorker worker) {
         mWorker = worker;
     }
 
-    Undertow start(URI address, HttpHandler handler) {
+    void start(URI address, HttpHandler handler) {
         Undertow listener =
                 Undertow.builder()
                         .setWorker(mWorker)
@@ -35,6 +38,11 @@
                         .setHandler(handler)
                         .build();
         listener.start();
-        return listener;
+        mStarted.add(listener);
+    }
+
+    @Override
+    public void close() {
+        mStarted.forEach(Undertow::stop);
     }
 }
