Missing layers are divided among the empty engines of a domain

Callers saw no whole chain for as long as one engine loaded all the layers that were lost: an empty engine with a large card got up to 32 missing layers, while further empty engines took copies. MissingLayerSplit gives each empty engine an equal part, as many as the weight store serves at full speed and no part below a second's load. Once nothing is missing, RangeGrowth extends engines that got only a part, as copies. Plans of a domain that holds nothing stay as they were.

--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
@@ -1,12 +1,15 @@
 package org.amaranthpick.core.layers;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.amaranthpick.core.gateway.EngineModel;
@@ -68,8 +71,9 @@
 
     private static LayerOrder withFleetPurpose(LayerOrder order, int[] holders) {
         boolean missing =
-                IntStream.range(order.layers().from(), order.layers().to())
-                        .anyMatch(layer -> holders[layer] == 0);
+                order.purpose() == LoadPurpose.MISSING_IN_DOMAIN
+                        && IntStream.range(order.layers().from(), order.layers().to())
+                                .anyMatch(layer -> holders[layer] == 0);
         return missing
                 ? new LayerOrder(
                         order.engineId(),
@@ -113,31 +117,73 @@
             List<EngineLayerState> group, Predicate<String> stable, List<LayerOrder> orders) {
         double reservedTokens = plannedKvTokens(group);
         int[] holders = countHolders(group);
+        fillEmptyEngines(group, holders, orders, reservedTokens);
+        if (group.stream().map(EngineLayerState::domain).allMatch(stable)) {
+            fillGaps(group, holders, orders, reservedTokens);
+        }
+        growRanges(group, holders, orders, reservedTokens);
+    }
+
+    private void fillEmptyEngines(
+            List<EngineLayerState> group,
+            int[] holders,
+            List<LayerOrder> orders,
+            double reservedTokens) {
         List<EngineLayerState> empty = new ArrayList<>();
         for (EngineLayerState engine : group) {
-            if (engine.acceptsOrders() && engine.layers().isEmpty()) {
+            if (engine.acceptsOrders()
+                    && engine.layers().isEmpty()
+                    && layerCapacity(engine, reservedTokens) > 0) {
                 empty.add(engine);
             }
         }
         empty.sort(
                 Comparator.comparingDouble((EngineLayerState e) -> layerMs(e, reservedTokens))
                         .thenComparing(EngineLayerState::id));
+        boolean firstPlan = Arrays.stream(holders).allMatch(count -> count == 0);
+        MissingLayerSplit split = new MissingLayerSplit(mModel, empty.size());
         int copies = 0;
         for (EngineLayerState engine : empty) {
-            int capacity = layerCapacity(engine, reservedTokens);
-            if (capacity == 0) {
-                continue;
-            }
             Optional<Integer> gap = firstLayerBelow(holders, copies + 1);
             while (gap.isEmpty()) {
                 copies++;
                 gap = firstLayerBelow(holders, copies + 1);
             }
             String reason = copies == 0 ? "missing layers" : "copy " + (copies + 1);
-            orders.add(order(engine, gap.get(), capacity, holders, reason));
+            int capacity = layerCapacity(engine, reservedTokens);
+            int size =
+                    copies == 0 && !firstPlan ? split.next(capacity, holders, gap.get()) : capacity;
+            orders.add(order(engine, gap.get(), size, holders, reason));
         }
-        if (group.stream().map(EngineLayerState::domain).allMatch(stable)) {
-            fillGaps(group, holders, orders, reservedTokens);
+    }
+
+    private void growRanges(
+            List<EngineLayerState> group,
+            int[] holders,
+            List<LayerOrder> orders,
+            double reservedTokens) {
+        if (firstLayerBelow(holders, 1).isPresent()) {
+            return;
+        }
+        Set<String> ordered = new HashSet<>();
+        orders.forEach(order -> ordered.add(order.engineId()));
+        for (EngineLayerState engine : group) {
+            int capacity = layerCapacity(engine, reservedTokens);
+            if (!engine.acceptsOrders()
+                    || ordered.contains(engine.id())
+                    || engine.layers()
+                            .filter(range -> RangeGrowth.isPartial(range, capacity, holders.length))
+                            .isEmpty()) {
+                continue;
+            }
+            LayerRange current = engine.layers().get();
+            LayerRange grown = RangeGrowth.extend(current, capacity, holders);
+            for (int layer = grown.from(); layer < grown.to(); layer++) {
+                holders[layer] += layer < current.from() || layer >= current.to() ? 1 : 0;
+            }
+            orders.add(
+                    new LayerOrder(
+                            engine.id(), grown, LoadPurpose.COPY, "copies beside held layers"));
         }
     }
 
