--- a/core/src/main/java/org/amaranthpick/core/config/ConfigurationService.java
+++ b/core/src/main/java/org/amaranthpick/core/config/ConfigurationService.java
@@ -21,6 +21,7 @@
 import org.amaranthpick.core.peer.PeerNetwork;
 import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.core.time.TaskGuard;
 
 /**
  * Keeps the configuration of this daemon at the newest accepted generation. A few daemons of each
@@ -38,6 +39,7 @@
     private final ConfigurationInForce mInForce;
     private final PeerNetwork mNetwork;
     private final Scheduler mScheduler;
+    private final TaskGuard mGuard;
     private final DomainWatchers mWatchers;
     private final CurrentContent mCurrentContent = new CurrentContent();
     private final ContentFetcher mFetcher;
@@ -69,6 +71,7 @@
         mInForce = holder;
         mNetwork = network;
         mScheduler = scheduler;
+        mGuard = new TaskGuard(scheduler);
         mWatchers = new DomainWatchers(members);
         mFetcher =
                 new ContentFetcher(
@@ -161,15 +164,21 @@
             if (mClosed) {
                 return;
             }
-            mWatch.onTimer(mWatchers.isWatcher());
-            mBootstrap.onTimer(mInForce.generation());
-            if (mInForce.generation() > 0) {
-                mTracker.reportToWatchers(mInForce.generation(), false);
-            }
-            mTracker.removeDepartedMembers();
-            updateReady();
-            mTimer = Optional.of(mScheduler.schedule(TIMER_PERIOD, this::onTimer));
+            mGuard.run(
+                    "configuration",
+                    this::step,
+                    () -> mTimer = Optional.of(mScheduler.schedule(TIMER_PERIOD, this::onTimer)));
+        }
+    }
+
+    private void step() {
+        mWatch.onTimer(mWatchers.isWatcher());
+        mBootstrap.onTimer(mInForce.generation());
+        if (mInForce.generation() > 0) {
+            mTracker.reportToWatchers(mInForce.generation(), false);
         }
+        mTracker.removeDepartedMembers();
+        updateReady();
     }
 
     private void onMessage(Identity from, PeerMessage message) {
--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
@@ -49,7 +49,8 @@
     }
 
     /**
-     * Computes the orders that move the held layers towards the planned placement.
+     * Computes the orders that move the held layers towards the planned placement. An engine whose
+     * layers are out of the model's range is not one of the model, and is left out.
      *
      * @param engines engines in service
      * @param stable whether the engines of a failure domain have been the same for a while; where
@@ -58,12 +59,17 @@
      */
     public List<LayerOrder> plan(List<EngineLayerState> engines, Predicate<String> stable) {
         List<LayerOrder> orders = new ArrayList<>();
-        for (List<EngineLayerState> group : groupByDomain(engines)) {
+        for (List<EngineLayerState> group :
+                groupByDomain(engines.stream().filter(this::isOfModel).toList())) {
             planGroup(group, stable, orders);
         }
         return orders;
     }
 
+    private boolean isOfModel(EngineLayerState engine) {
+        return engine.layers().map(range -> range.to() <= mModel.layers()).orElse(true);
+    }
+
     private List<List<EngineLayerState>> groupByDomain(List<EngineLayerState> engines) {
         Map<String, List<EngineLayerState>> byDomain = new LinkedHashMap<>();
         for (EngineLayerState engine : engines) {
@@ -257,8 +263,7 @@
             engine.layers()
                     .ifPresent(
                             range -> {
-                                int to = Math.min(range.to(), holders.length);
-                                for (int layer = range.from(); layer < to; layer++) {
+                                for (int layer = range.from(); layer < range.to(); layer++) {
                                     holders[layer]++;
                                 }
                             });
--- a/core/src/main/java/org/amaranthpick/core/member/Membership.java
+++ b/core/src/main/java/org/amaranthpick/core/member/Membership.java
@@ -23,6 +23,7 @@
 import org.amaranthpick.core.peer.PeerNetwork;
 import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.core.time.TaskGuard;
 
 /**
  * Gossip membership of the daemons. Daemons of a failure domain probe each other, relays exchange
@@ -36,6 +37,7 @@
     private final Object mLock = new Object();
     private final MembershipState mState;
     private final Scheduler mScheduler;
+    private final TaskGuard mGuard;
     private final HostDirectory mDirectory;
     private final RandomGenerator mRandom;
     private final Broadcaster mBroadcaster;
@@ -71,6 +73,7 @@
             MembershipSettings settings) {
         mState = new MembershipState(self, network, scheduler, log, settings);
         mScheduler = scheduler;
+        mGuard = new TaskGuard(scheduler);
         mDirectory = directory;
         mRandom = random;
         mBroadcaster = new Broadcaster(mLock, mState);
@@ -213,20 +216,7 @@
             Duration period = mState.settings().probePeriod();
             boolean paused = nowNs - mLastStepNs > period.toNanos() * MAX_PERIODS_BETWEEN_STEPS;
             mLastStepNs = nowNs;
-            if (paused) {
-                mDomainMonitor.onPaused();
-            }
-            mState.expire();
-            mProber.step(paused);
-            mScheduler.schedule(mState.settings().ackTimeout(), this::probeIndirectly);
-            if (mSync.isJoined()) {
-                mDomainMonitor.step();
-            } else {
-                join();
-            }
-            mSnapshot.setUnreachable(mState.unreachableDomains());
-            mSnapshot.refresh(mState);
-            scheduleStep(period);
+            mGuard.run("members", () -> probe(paused), () -> scheduleStep(period));
             if (!isDirectoryDue(nowNs)) {
                 return;
             }
@@ -235,6 +225,22 @@
         readDirectory();
     }
 
+    private void probe(boolean paused) {
+        if (paused) {
+            mDomainMonitor.onPaused();
+        }
+        mState.expire();
+        mProber.step(paused);
+        mScheduler.schedule(mState.settings().ackTimeout(), this::probeIndirectly);
+        if (mSync.isJoined()) {
+            mDomainMonitor.step();
+        } else {
+            join();
+        }
+        mSnapshot.setUnreachable(mState.unreachableDomains());
+        mSnapshot.refresh(mState);
+    }
+
     private void probeIndirectly() {
         synchronized (mLock) {
             if (!mClosed) {
--- a/core/src/main/java/org/amaranthpick/core/quarantine/QuarantineGossip.java
+++ b/core/src/main/java/org/amaranthpick/core/quarantine/QuarantineGossip.java
@@ -16,6 +16,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.core.time.TaskGuard;
 
 /**
  * Spreads the quarantine of prompts among the daemons. What is news to a daemon, it passes on to a
@@ -28,6 +29,8 @@
  * as they can be reached. Confined to one thread.
  */
 public final class QuarantineGossip {
+    private static final String TASK = "quarantine gossip";
+
     /** Number of daemons that news is passed on to. */
     static final int FAN_OUT = 4;
 
@@ -54,6 +57,7 @@
     private final Sender mSender;
     private final Scheduler mScheduler;
     private final RandomGenerator mRandom;
+    private final TaskGuard mGuard;
     private final Set<String> mPendingParts = new LinkedHashSet<>();
     private final Map<String, Set<String>> mPendingRequests = new LinkedHashMap<>();
     private final Map<String, Long> mUnreachableUntilNs = new HashMap<>();
@@ -97,6 +101,7 @@
         mSender = sender;
         mScheduler = scheduler;
         mRandom = random;
+        mGuard = new TaskGuard(scheduler);
         quarantine.setListener(
                 (report, concernsAll) -> {
                     mRecords.ifPresent(records -> records.onObservation(report));
@@ -197,14 +202,22 @@
     }
 
     private void sendPending() {
-        if (!mPendingParts.isEmpty()) {
-            sendToSome(message(mPendingParts));
-            mPendingParts.clear();
+        Set<String> pendingParts = new LinkedHashSet<>(mPendingParts);
+        Map<String, Set<String>> pendingRequests = new LinkedHashMap<>(mPendingRequests);
+        mPendingParts.clear();
+        mPendingRequests.clear();
+        if (!pendingParts.isEmpty()) {
+            mGuard.run(TASK, () -> sendToSome(message(pendingParts)));
         }
-        mPendingRequests.forEach(
+        pendingRequests.forEach(
                 (peer, parts) ->
-                        mSender.send(peer, message(parts), () -> onUnreachable(peer, parts)));
-        mPendingRequests.clear();
+                        mGuard.run(
+                                TASK,
+                                () ->
+                                        mSender.send(
+                                                peer,
+                                                message(parts),
+                                                () -> onUnreachable(peer, parts))));
     }
 
     /** Passes requests on to the daemons that take the place of one that cannot be reached. */
@@ -273,8 +286,7 @@
 
     private void exchange() {
         mExchanging = false;
-        randomPeers(1).forEach(this::sendQuarantined);
-        startExchange();
+        mGuard.run(TASK, () -> randomPeers(1).forEach(this::sendQuarantined), this::startExchange);
     }
 
     private void sendQuarantined(String peerAddress) {
--- a/core/src/main/java/org/amaranthpick/core/quarantine/QuarantineRecords.java
+++ b/core/src/main/java/org/amaranthpick/core/quarantine/QuarantineRecords.java
@@ -21,6 +21,7 @@
 import org.amaranthpick.core.store.WriteResult;
 import org.amaranthpick.core.store.WriterTokens;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.core.time.TaskGuard;
 
 /**
  * Keeps what is in quarantine in the store, for the case that all daemons are killed at once. A
@@ -33,6 +34,7 @@
             new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
     private static final String PREFIX = "quarantine/";
+    private static final String TASK = "quarantine records";
     private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
 
     /** Bounds the writes of a daemon if many parts are quarantined at once. */
@@ -43,10 +45,13 @@
     private final PromptQuarantine mQuarantine;
     private final Scheduler mScheduler;
     private final Executor mExecutor;
+    private final TaskGuard mGuard;
 
     /** Versions of the records that this daemon has written, by part. */
     private final Map<String, Long> mWrittenVersions = new HashMap<>();
 
+    private boolean mListed;
+
     /**
      * Record of a part in the store.
      *
@@ -75,11 +80,21 @@
         mQuarantine = quarantine;
         mScheduler = scheduler;
         mExecutor = executor;
+        mGuard = new TaskGuard(scheduler);
     }
 
     /** Reads all records; retries until the store answers. */
     public void load() {
-        mStore.list(PREFIX).thenAccept(result -> mExecutor.execute(() -> onListed(result)));
+        mGuard.call(
+                TASK,
+                mExecutor,
+                () -> mStore.list(PREFIX),
+                this::onListed,
+                () -> {
+                    if (!mListed) {
+                        mScheduler.schedule(RETRY_DELAY, this::load);
+                    }
+                });
     }
 
     /**
@@ -107,15 +122,16 @@
     }
 
     private void onListed(ListResult result) {
-        if (!(result instanceof ListResult.Listed listed)) {
-            mScheduler.schedule(RETRY_DELAY, this::load);
-            return;
+        if (result instanceof ListResult.Listed listed) {
+            mListed = true;
+            listed.objects().forEach(object -> mGuard.run(TASK, () -> takeIn(object)));
         }
-        for (StoredObject object : listed.objects()) {
-            Optional<Entry> entry = decode(object);
-            if (entry.isEmpty() || !merge(entry.get())) {
-                mStore.delete(object.key(), object.version());
-            }
+    }
+
+    private void takeIn(StoredObject object) {
+        Optional<Entry> entry = decode(object);
+        if (entry.isEmpty() || !merge(entry.get())) {
+            mStore.delete(object.key(), object.version());
         }
     }
 
--- a/core/src/main/java/org/amaranthpick/core/register/DaemonCounter.java
+++ b/core/src/main/java/org/amaranthpick/core/register/DaemonCounter.java
@@ -21,6 +21,7 @@
 import org.amaranthpick.core.store.WriteResult;
 import org.amaranthpick.core.store.WriterTokens;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.core.time.TaskGuard;
 
 /**
  * Registers this daemon and lists all daemons that have ever registered, so that each can compute
@@ -34,6 +35,7 @@
             new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
     private static final String PREFIX = "gateways/";
+    private static final String TASK = "daemons";
 
     /** Number of daemons assumed before the first list; high, so that shares start small. */
     private static final int INITIAL_COUNT = 150;
@@ -51,6 +53,7 @@
     private final Registration mRegistration;
     private final Scheduler mScheduler;
     private final Executor mExecutor;
+    private final TaskGuard mGuard;
     private final RandomGenerator mRandom;
     private final Map<String, Optional<Registration>> mKnown = new TreeMap<>();
     private int mCount = INITIAL_COUNT;
@@ -95,6 +98,7 @@
         mRegistration = new Registration(peerAddress.orElse(""), domain);
         mScheduler = scheduler;
         mExecutor = executor;
+        mGuard = new TaskGuard(scheduler);
         mRandom = random;
     }
 
@@ -149,12 +153,17 @@
     }
 
     private void register() {
-        write(new WriteCondition.Absent());
-    }
-
-    private void write(WriteCondition condition) {
-        mStore.write(PREFIX + mHost, condition, encode(mRegistration), mWriters.next())
-                .thenAccept(result -> mExecutor.execute(() -> onRegistered(result)));
+        mGuard.call(
+                TASK,
+                mExecutor,
+                () ->
+                        mStore.write(
+                                PREFIX + mHost,
+                                new WriteCondition.Absent(),
+                                encode(mRegistration),
+                                mWriters.next()),
+                this::onRegistered,
+                () -> scheduleNext(mRegistered ? FIRST_LIST_DELAY : REGISTER_RETRY_DELAY));
     }
 
     private void onRegistered(WriteResult result) {
@@ -163,9 +172,10 @@
         if (!mRegistered) {
             sLogger.atInfo().log("roll: daemon not registered yet: %s", result);
         }
-        mScheduler.schedule(
-                jittered(mRegistered ? FIRST_LIST_DELAY : REGISTER_RETRY_DELAY),
-                this::registerOrList);
+    }
+
+    private void scheduleNext(Duration delay) {
+        mScheduler.schedule(jittered(delay), this::registerOrList);
     }
 
     private void registerOrList() {
@@ -173,7 +183,12 @@
             return;
         }
         if (mRegistered) {
-            mStore.list(PREFIX).thenAccept(list -> mExecutor.execute(() -> onListed(list)));
+            mGuard.call(
+                    TASK,
+                    mExecutor,
+                    () -> mStore.list(PREFIX),
+                    this::onListed,
+                    () -> scheduleNext(LIST_PERIOD));
         } else {
             register();
         }
@@ -192,7 +207,6 @@
             updateOwn(listed.objects());
             mOnCount.accept(count);
         }
-        mScheduler.schedule(jittered(LIST_PERIOD), this::registerOrList);
     }
 
     private List<PeerDaemon> knownDaemons() {
--- a/core/src/main/java/org/amaranthpick/core/register/HealthGossip.java
+++ b/core/src/main/java/org/amaranthpick/core/register/HealthGossip.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.core.time.TaskGuard;
 
 /**
  * Spreads observations of failing upstreams among the daemons. Each daemon passes what is news to
@@ -200,8 +201,10 @@
         List<HealthNote> notes = List.copyOf(mPending);
         mPending.clear();
         List<String> peers = new ArrayList<>(mPeers.get());
+        TaskGuard guard = new TaskGuard(mScheduler);
         for (int i = 0; i < FAN_OUT && !peers.isEmpty(); i++) {
-            mSender.send(peers.remove(mRandom.nextInt(peers.size())), notes);
+            String peer = peers.remove(mRandom.nextInt(peers.size()));
+            guard.run("health gossip", () -> mSender.send(peer, notes));
         }
     }
 
--- a/core/src/main/java/org/amaranthpick/core/store/StoreFollower.java
+++ b/core/src/main/java/org/amaranthpick/core/store/StoreFollower.java
@@ -4,10 +4,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalLong;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import java.util.random.RandomGenerator;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.core.time.TaskGuard;
 
 /**
  * Follows the objects under a prefix until closed: lists them, watches them, and lists them again
@@ -22,6 +22,8 @@
     private final String mPrefix;
     private final Scheduler mScheduler;
     private final Executor mExecutor;
+    private final TaskGuard mGuard;
+    private final String mTask;
     private final RandomGenerator mRandom;
     private final Sink mSink;
     private Watch mWatch = () -> {};
@@ -29,6 +31,7 @@
     private boolean mStoreAvailable = true;
     private boolean mClosed;
     private int mListNumber;
+    private int mWatchedList;
     private OptionalLong mEra = OptionalLong.empty();
 
     /** Receives the objects and their changes on the executor of the follower. */
@@ -85,6 +88,8 @@
         mPrefix = prefix;
         mScheduler = scheduler;
         mExecutor = executor;
+        mGuard = new TaskGuard(scheduler);
+        mTask = "store " + prefix;
         mRandom = random;
         mSink = sink;
     }
@@ -108,8 +113,19 @@
             return;
         }
         int listNumber = ++mListNumber;
-        CompletionStage<ListResult> listed = mStore.list(mPrefix);
-        listed.thenAccept(result -> mExecutor.execute(() -> onListed(listNumber, result)));
+        mGuard.call(
+                mTask,
+                mExecutor,
+                () -> mStore.list(mPrefix),
+                result -> onListed(listNumber, result),
+                () -> listAgainUnlessWatching(listNumber));
+    }
+
+    /** Lists again later if a list has led neither to a watch nor to another list. */
+    private void listAgainUnlessWatching(int listNumber) {
+        if (!mClosed && listNumber == mListNumber && mWatchedList != listNumber) {
+            retryLater();
+        }
     }
 
     private void onListed(int listNumber, ListResult result) {
@@ -120,12 +136,13 @@
             if (!mStoreAvailable) {
                 mStoreAvailable = true;
                 sLogger.atInfo().log("store: regained prefix=%s", mPrefix);
-                mSink.onStoreAvailable();
+                mGuard.run(mTask, mSink::onStoreAvailable);
             }
             mRetryDelay = MIN_RETRY_DELAY;
             trackEra(StoreRevision.era(list.revision()));
-            mSink.onList(list.objects());
+            mGuard.run(mTask, () -> mSink.onList(list.objects()));
             mWatch = mStore.watch(mPrefix, list.revision(), new Listener(listNumber));
+            mWatchedList = Math.max(mWatchedList, listNumber);
         } else {
             onUnavailable(((ListResult.Unavailable) result).reason());
         }
@@ -135,7 +152,7 @@
         if (mEra.isPresent() && mEra.getAsLong() != era) {
             sLogger.atWarning().log(
                     "store: restored prefix=%s era=%d before=%d", mPrefix, era, mEra.getAsLong());
-            mSink.onStoreRestored();
+            mGuard.run(mTask, mSink::onStoreRestored);
         }
         mEra = OptionalLong.of(era);
     }
@@ -145,6 +162,9 @@
             mStoreAvailable = false;
             sLogger.atWarning().log("store: lost prefix=%s reason=\"%s\"", mPrefix, reason);
         }
+    }
+
+    private void retryLater() {
         long maxDelayNs = mRetryDelay.toNanos();
         mScheduler.schedule(
                 Duration.ofNanos(mRandom.nextLong(maxDelayNs / 2, maxDelayNs + 1)),
@@ -188,7 +208,7 @@
             mExecutor.execute(
                     () -> {
                         if (!mClosed && mOwnListNumber == mListNumber) {
-                            task.run();
+                            mGuard.run(mTask, task);
                         }
                     });
         }
--- a/core/src/main/java/org/amaranthpick/core/time/Scheduler.java
+++ b/core/src/main/java/org/amaranthpick/core/time/Scheduler.java
@@ -21,4 +21,15 @@
      * @return handle that cancels the task if it has not started
      */
     Cancellable schedule(Duration delay, Runnable task);
+
+    /**
+     * Receives the exception of a task that goes on nevertheless. The scheduler of a daemon logs
+     * and counts it; others pass it on to whoever runs the task.
+     *
+     * @param task name of the task
+     * @param failure what it threw
+     */
+    default void onTaskFailed(String task, RuntimeException failure) {
+        throw failure;
+    }
 }
--- a/core/src/main/java/org/amaranthpick/core/time/VirtualScheduler.java
+++ b/core/src/main/java/org/amaranthpick/core/time/VirtualScheduler.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.PriorityQueue;
+import java.util.function.BiConsumer;
 
 /**
  * Scheduler on virtual time, for tests and benchmarks. Tasks run in the order of their due times,
@@ -14,6 +15,7 @@
     private final Instant mOrigin;
     private long mNowNs;
     private long mSequence;
+    private BiConsumer<String, RuntimeException> mOnTaskFailed = Scheduler.super::onTaskFailed;
 
     /**
      * Creates a scheduler.
@@ -42,6 +44,20 @@
         return () -> scheduled.mCancelled = true;
     }
 
+    @Override
+    public void onTaskFailed(String task, RuntimeException failure) {
+        mOnTaskFailed.accept(task, failure);
+    }
+
+    /**
+     * Sets what receives the exceptions of tasks, instead of the caller of {@link #advance}.
+     *
+     * @param receiver receives the name of the task and the exception
+     */
+    public void setOnTaskFailed(BiConsumer<String, RuntimeException> receiver) {
+        mOnTaskFailed = receiver;
+    }
+
     /**
      * Advances the time and runs every task that is due by then.
      *
--- a/core/src/test/java/org/amaranthpick/core/layers/LayerPlannerTest.java
+++ b/core/src/test/java/org/amaranthpick/core/layers/LayerPlannerTest.java
@@ -6,11 +6,14 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.amaranthpick.core.gateway.EngineModel;
+import org.amaranthpick.core.manifest.LayerRange;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class LayerPlannerTest {
@@ -54,6 +57,23 @@
         }
     }
 
+    /** An entry of another writer made every plan fail while an engine was missing. */
+    @ParameterizedTest
+    @CsvSource({"60, 140000", "0, 81", "80, 81", "2147483646, 2147483647"})
+    void anEngineWithLayersOutOfTheModelIsLeftOut(int from, int to) {
+        for (EngineLayerState lost : enginesWithLayers()) {
+            List<EngineLayerState> left = new ArrayList<>(enginesWithLayers());
+            left.remove(lost);
+            List<LayerOrder> expected = mPlanner.plan(left, d -> true);
+            Optional<LayerRange> layers = Optional.of(new LayerRange(from, to));
+            left.add(
+                    0,
+                    new EngineLayerState(
+                            "odd", lost.domain(), LayerFixture.CARDS.get("big"), layers, true));
+            assertEquals(expected, mPlanner.plan(left, d -> true));
+        }
+    }
+
     /** After a partition the engines of a domain register again one by one. */
     @Test
     void enginesWithLayersAreNotReassignedWhileADomainReturns() {
--- a/server/src/main/java/org/amaranthpick/server/daemon/ControlLoop.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/ControlLoop.java
@@ -1,6 +1,5 @@
 package org.amaranthpick.server.daemon;
 
-import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,22 +7,23 @@
 import org.amaranthpick.core.board.Controller;
 import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.core.time.TaskGuard;
 
 /**
  * Runs controllers at their periods. Each start is shifted by a random part of the period, so that
- * daemons started together do not act together. A step that fails is logged; the next one runs.
+ * daemons started together do not act together. After a step that fails the next one runs.
  */
 final class ControlLoop implements AutoCloseable {
-    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-
     private final Scheduler mScheduler;
     private final RandomGenerator mRandom;
+    private final TaskGuard mGuard;
     private final List<Run> mRuns = new ArrayList<>();
     private volatile boolean mClosed;
 
     ControlLoop(Scheduler scheduler, RandomGenerator random) {
         mScheduler = scheduler;
         mRandom = random;
+        mGuard = new TaskGuard(scheduler);
     }
 
     synchronized void add(Controller controller) {
@@ -61,13 +61,7 @@
             if (mClosed) {
                 return;
             }
-            try {
-                mController.step();
-            } catch (RuntimeException e) {
-                sLogger.atSevere().withCause(e).log("control: %s failed", mController.name());
-            } finally {
-                next(mController.period());
-            }
+            mGuard.run(mController.name(), mController::step, () -> next(mController.period()));
         }
     }
 }
--- a/server/src/main/java/org/amaranthpick/server/daemon/DaemonGauges.java
+++ b/server/src/main/java/org/amaranthpick/server/daemon/DaemonGauges.java
@@ -24,6 +24,10 @@
         peers(metrics, control.peerCounters());
         store(metrics, base.store().counters());
         upstreams(metrics, base);
+        metrics.registerGauge(
+                "task_failures",
+                "Runs of the daemon's own tasks that ended with an exception.",
+                () -> base.scheduler().taskFailures() + base.controlScheduler().taskFailures());
     }
 
     private static void configuration(DaemonMetrics metrics, ControlPlane control) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -39,6 +39,7 @@
 import org.amaranthpick.core.store.StoreFollower;
 import org.amaranthpick.core.store.WatchPacing;
 import org.amaranthpick.core.store.WriterTokens;
+import org.amaranthpick.core.time.TaskGuard;
 import org.amaranthpick.server.http.HttpConnector;
 import org.amaranthpick.server.time.IoThreadScheduler;
 import org.xnio.XnioWorker;
@@ -307,6 +308,7 @@
 
     /** Opens the listeners and starts to follow the store. */
     public void start() {
+        mScheduler.setOnTaskFailed(mMetrics::onTaskFailed);
         mConfigurationStoreFollower.start();
         mRegisterStoreFollower.start();
         mDaemonCounter.start(this::onDaemonCount);
@@ -321,7 +323,7 @@
                                 address ->
                                         mListeners.start(
                                                 address, mReach.handler(messageHandler())));
-        mScheduler.schedule(Duration.ZERO, this::runControlStep);
+        mScheduler.execute(this::runControlSteps);
         sLogger.atInfo().log(
                 "start: host=%s domain=%s callers=%s",
                 mSettings.host(), mSettings.domain(), mSettings.callerAddress());
@@ -394,12 +396,21 @@
         }
     }
 
-    private void runControlStep() {
-        if (mDraining || mClosed) {
-            return;
-        }
+    private void runControlSteps() {
+        TaskGuard guard = new TaskGuard(mScheduler);
+        guard.repeat(
+                "control",
+                CONTROL_PERIOD,
+                () -> mDraining || mClosed,
+                () -> {
+                    guard.run("probes", mReach::step);
+                    guard.run("lease", this::stepLease);
+                    guard.run("layers", mLayerPlacement::step);
+                });
+    }
+
+    private void stepLease() {
         boolean synced = mConfiguration.current().isPresent() && mRegisterFollower.isListed();
-        mReach.step();
         boolean candidate =
                 synced && mLeaseRank < CANDIDATE_RANKS && !mReach.isPartitionedForLong();
         if (mReach.isPartitionedForLong() && mLease.held().isPresent()) {
@@ -407,8 +418,6 @@
             mLease.release();
         }
         mLease.step(candidate ? Optional.of(mLeaseRank) : Optional.empty());
-        mLayerPlacement.step();
-        mScheduler.schedule(CONTROL_PERIOD, this::runControlStep);
     }
 
     private void handleReadiness(HttpServerExchange exchange) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -73,6 +73,12 @@
                     .register(mRegistry);
     private final Histogram mPauseTime =
             histogram("pause_seconds", "Pauses between the events of a stream").register(mRegistry);
+    private final Counter mTaskFailureCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_task_failures_total")
+                    .help("Runs of the daemon's own tasks that ended with an exception")
+                    .labelNames("task")
+                    .register(mRegistry);
     private final Gauge mConfigurationVersion =
             Gauge.builder()
                     .name("amaranthpick_gateway_configuration_version")
@@ -124,6 +130,10 @@
         mResponseTime.labelValues(label(kind), outcome).observe(seconds(elapsed));
     }
 
+    void onTaskFailed(String task) {
+        mTaskFailureCount.labelValues(task).inc();
+    }
+
     void onConfigurationVersion(long version) {
         mConfigurationVersion.set((double) version);
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/PathProber.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/PathProber.java
@@ -11,6 +11,7 @@
 import org.amaranthpick.core.register.UpstreamEntry;
 import org.amaranthpick.core.register.UpstreamRegister;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.core.time.TaskGuard;
 import org.amaranthpick.server.http.HttpConnector;
 import org.amaranthpick.server.http.OpenedConnection;
 
@@ -27,6 +28,7 @@
     private final HttpConnector mConnector;
     private final Scheduler mScheduler;
     private final RandomGenerator mRandom;
+    private final TaskGuard mGuard;
     private final Set<String> mPending = new HashSet<>();
 
     PathProber(
@@ -42,6 +44,7 @@
         mConnector = connector;
         mScheduler = scheduler;
         mRandom = random;
+        mGuard = new TaskGuard(scheduler);
     }
 
     /** Starts the probes that are due. Called at intervals. */
@@ -55,11 +58,24 @@
                 mRegister
                         .findById(id)
                         .filter(entry -> !mAdmission.isPaused(entry, mScheduler.monotonicNs()))
-                        .ifPresentOrElse(this::probe, () -> mPending.remove(id));
+                        .ifPresentOrElse(this::probeGuarded, () -> mPending.remove(id));
             }
         }
     }
 
+    private void probeGuarded(UpstreamEntry upstream) {
+        mGuard.run(
+                "probes",
+                () -> {
+                    try {
+                        probe(upstream);
+                    } catch (RuntimeException e) {
+                        mPending.remove(upstream.id());
+                        throw e;
+                    }
+                });
+    }
+
     private void probe(UpstreamEntry upstream) {
         mConnector.open(
                 URI.create("http://" + upstream.address()),
--- a/server/src/main/java/org/amaranthpick/server/gateway/UpstreamReach.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/UpstreamReach.java
@@ -132,8 +132,8 @@
 
     /** Starts the probes of broken paths that are due. Called at intervals. */
     void step() {
-        mProber.step();
         mPartitionedSteps = mPaths.isPartitioned() ? mPartitionedSteps + 1 : 0;
+        mProber.step();
     }
 
     /**
--- a/server/src/main/java/org/amaranthpick/server/time/IoThreadScheduler.java
+++ b/server/src/main/java/org/amaranthpick/server/time/IoThreadScheduler.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.core.time.Scheduler;
 import org.xnio.XnioExecutor;
@@ -18,6 +19,7 @@
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final XnioIoThread mThread;
+    private final TaskFailures mFailures = new TaskFailures();
 
     /**
      * Creates a scheduler.
@@ -28,6 +30,15 @@
         mThread = thread;
     }
 
+    /**
+     * Sets what is notified of each failed task.
+     *
+     * @param listener receives the name of the task
+     */
+    public void setOnTaskFailed(Consumer<String> listener) {
+        mFailures.setListener(listener);
+    }
+
     @Override
     public Instant instant() {
         return Instant.now();
@@ -63,11 +74,16 @@
         }
     }
 
-    private static void runLogged(Runnable task) {
+    @Override
+    public void onTaskFailed(String task, RuntimeException failure) {
+        mFailures.report(task, failure);
+    }
+
+    private void runLogged(Runnable task) {
         try {
             task.run();
         } catch (RuntimeException e) {
-            sLogger.atSevere().withCause(e).log("timer: task failed");
+            mFailures.report("timer", e);
         }
     }
 }
--- a/server/src/main/java/org/amaranthpick/server/time/SystemScheduler.java
+++ b/server/src/main/java/org/amaranthpick/server/time/SystemScheduler.java
@@ -1,6 +1,5 @@
 package org.amaranthpick.server.time;
 
-import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.concurrent.ScheduledFuture;
@@ -11,9 +10,8 @@
 
 /** Scheduler on the system clocks, with one timer thread. */
 public final class SystemScheduler implements Scheduler, AutoCloseable {
-    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-
     private final ScheduledThreadPoolExecutor mExecutor;
+    private final TaskFailures mFailures = new TaskFailures();
 
     /**
      * Starts the timer thread.
@@ -26,6 +24,15 @@
         mExecutor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
     }
 
+    /**
+     * Returns the number of tasks that ended with an exception.
+     *
+     * @return number since the start
+     */
+    public long taskFailures() {
+        return mFailures.count();
+    }
+
     @Override
     public Instant instant() {
         return Instant.now();
@@ -52,11 +59,16 @@
         mExecutor.shutdownNow();
     }
 
-    private static void runLogged(Runnable task) {
+    @Override
+    public void onTaskFailed(String task, RuntimeException failure) {
+        mFailures.report(task, failure);
+    }
+
+    private void runLogged(Runnable task) {
         try {
             task.run();
         } catch (RuntimeException e) {
-            sLogger.atSevere().withCause(e).log("timer: task failed");
+            mFailures.report("timer", e);
         }
     }
 
