--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
@@ -53,7 +53,8 @@
     }
 
     /**
-     * Computes the orders that move the held layers towards the planned placement.
+     * Computes the orders that move the held layers towards the planned placement. An engine whose
+     * layers are out of the model's range is not one of the model, and is left out.
      *
      * @param engines engines in service
      * @param stable whether engines of a failure domain that hold layers may get other ones; where
@@ -62,13 +63,16 @@
      */
     public List<LayerOrder> plan(List<EngineLayerState> engines, Predicate<String> stable) {
         List<LayerOrder> orders = new ArrayList<>();
-        for (List<EngineLayerState> group : groupByDomain(engines)) {
-            planGroup(group, stable, orders);
-        }
-        int[] holders = countHolders(engines);
+        List<List<EngineLayerState>> groups = groupByDomain(engines);
+        groups.forEach(group -> planGroup(group, stable, orders));
+        int[] holders = countHolders(groups.stream().flatMap(List::stream).toList());
         return orders.stream().map(order -> withFleetPurpose(order, holders)).toList();
     }
 
+    private boolean isOfModel(EngineLayerState engine) {
+        return engine.layers().map(range -> range.to() <= mModel.layers()).orElse(true);
+    }
+
     private static LayerOrder withFleetPurpose(LayerOrder order, int[] holders) {
         boolean missing =
                 order.purpose() == LoadPurpose.MISSING_IN_DOMAIN
@@ -84,14 +88,14 @@
     }
 
     /**
-     * Divides engines into those whose failure domains hold copies together.
+     * Divides the engines of the model into those whose failure domains hold copies together.
      *
      * @param engines engines in service
      * @return a group for each domain with enough memory, and one of the other domains
      */
     List<List<EngineLayerState>> groupByDomain(List<EngineLayerState> engines) {
         Map<String, List<EngineLayerState>> byDomain = new LinkedHashMap<>();
-        for (EngineLayerState engine : engines) {
+        for (EngineLayerState engine : engines.stream().filter(this::isOfModel).toList()) {
             byDomain.computeIfAbsent(engine.domain(), d -> new ArrayList<>()).add(engine);
         }
         List<List<EngineLayerState>> groups = new ArrayList<>();
@@ -337,8 +341,7 @@
             engine.layers()
                     .ifPresent(
                             range -> {
-                                int to = Math.min(range.to(), holders.length);
-                                for (int layer = range.from(); layer < to; layer++) {
+                                for (int layer = range.from(); layer < range.to(); layer++) {
                                     holders[layer]++;
                                 }
                             });
