--- a/core/src/main/java/org/amaranthpick/core/room/ReportedRoom.java
+++ b/core/src/main/java/org/amaranthpick/core/room/ReportedRoom.java
@@ -66,6 +66,18 @@
         }
     }
 
+    /**
+     * Returns how many engines are known to be loaded.
+     *
+     * @return number of engines that are at least half full
+     */
+    public int loadedEngines() {
+        return (int)
+                mLoads.values().stream()
+                        .filter(load -> load.fill() >= RoomObserver.TOLD_FILL)
+                        .count();
+    }
+
     @Override
     public OptionalDouble fill(EngineChain chain, long nowNs) {
         return chain.stages().stream()
--- a/core/src/main/java/org/amaranthpick/core/room/RoomObserver.java
+++ b/core/src/main/java/org/amaranthpick/core/room/RoomObserver.java
@@ -1,5 +1,6 @@
 package org.amaranthpick.core.room;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -26,6 +27,8 @@
  * Nothing is repeated: what is lost is replaced by the next observation. Confined to one thread.
  */
 public final class RoomObserver {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
     /** Number of daemons from which one sees too little of the traffic by itself. */
     static final int MIN_DAEMONS = 16;
 
@@ -126,7 +129,14 @@
     }
 
     private void queryIfDue(String duty, List<UpstreamEntry> engines, long nowNs) {
-        Group group = mGroups.computeIfAbsent(duty, key -> new Group());
+        Group group =
+                mGroups.computeIfAbsent(
+                        duty,
+                        key -> {
+                            sLogger.atInfo().log(
+                                    "loads: observing group=%s engines=%d", duty, engines.size());
+                            return new Group();
+                        });
         Duration period = group.isLoaded() ? LOADED_PERIOD : CALM_PERIOD;
         if (group.mPending > 0 || nowNs - group.mQueriedNs < period.toNanos()) {
             return;
@@ -166,6 +176,7 @@
 
     /** Tells all daemons of loaded engines and of those that are no longer loaded. */
     private void tell(String duty, Group group, long nowNs) {
+        boolean wasLoaded = !group.mTold.isEmpty();
         List<RoomNews.Load> loads = new ArrayList<>();
         for (EngineLoad load : group.mLoads.values()) {
             boolean loaded = load.fill() >= TOLD_FILL;
@@ -179,6 +190,9 @@
                 loads.add(new RoomNews.Load(load.engineId(), percent, ageMs));
             }
         }
+        if (wasLoaded == group.mTold.isEmpty()) {
+            sLogger.atInfo().log("loads: group=%s loaded=%s", duty, group.mTold);
+        }
         if (loads.isEmpty()) {
             mDuties.successors(duty)
                     .forEach(peer -> mSender.accept(peer, new RoomNews(duty, loads, List.of())));
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -196,6 +196,7 @@
                 mDaemonCounter,
                 () -> RoomObservation.modelEngines(mConfiguration.current(), register),
                 engines,
+                mMetrics,
                 mScheduler,
                 mRandom);
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -79,6 +79,17 @@
                     .help("Runs of the daemon's own tasks that ended with an exception")
                     .labelNames("task")
                     .register(mRegistry);
+    private final Counter mLoadMessageCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_engine_load_messages_total")
+                    .help("Loads of engines sent to other daemons and received from them")
+                    .labelNames("direction")
+                    .register(mRegistry);
+    private final Gauge mLoadedEngines =
+            Gauge.builder()
+                    .name("amaranthpick_gateway_loaded_engines")
+                    .help("Engines that are known to be at least half full")
+                    .register(mRegistry);
     private final Gauge mConfigurationVersion =
             Gauge.builder()
                     .name("amaranthpick_gateway_configuration_version")
@@ -130,6 +141,18 @@
         mResponseTime.labelValues(label(kind), outcome).observe(seconds(elapsed));
     }
 
+    void onLoadsSent() {
+        mLoadMessageCount.labelValues("sent").inc();
+    }
+
+    void onLoadsReceived() {
+        mLoadMessageCount.labelValues("received").inc();
+    }
+
+    void setLoadedEngines(int count) {
+        mLoadedEngines.set(count);
+    }
+
     void onTaskFailed(String task) {
         mTaskFailureCount.labelValues(task).inc();
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/RoomObservation.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RoomObservation.java
@@ -25,6 +25,7 @@
     private final ReportedRoom mRoom = new ReportedRoom();
     private final PeerMessageLink<RoomNews> mLink;
     private final RoomObserver mObserver;
+    private final GatewayMetrics mMetrics;
 
     /**
      * Creates the observation of a daemon.
@@ -34,6 +35,7 @@
      * @param daemons other daemons
      * @param engines returns the registered engines
      * @param control queries engines
+     * @param metrics counts messages and loaded engines
      * @param scheduler scheduler on the I/O thread
      * @param random source of the paths of news
      */
@@ -43,8 +45,10 @@
             DaemonCounter daemons,
             Supplier<List<UpstreamEntry>> engines,
             EngineControl control,
+            GatewayMetrics metrics,
             IoThreadScheduler scheduler,
             RandomGenerator random) {
+        mMetrics = metrics;
         mLink = new PeerMessageLink<>(peers, PATH, new TypeReference<>() {});
         mObserver =
                 new RoomObserver(
@@ -56,10 +60,19 @@
                         engines,
                         control,
                         mRoom,
-                        mLink::send,
+                        this::send,
                         scheduler,
                         scheduler);
-        mLink.setReceiver(mObserver::onNews);
+        mLink.setReceiver(
+                news -> {
+                    metrics.onLoadsReceived();
+                    mObserver.onNews(news);
+                });
+    }
+
+    private void send(String peer, RoomNews news) {
+        mMetrics.onLoadsSent();
+        mLink.send(peer, news);
     }
 
     /** Returns the engines of all models of a configuration. */
@@ -79,6 +92,7 @@
     /** Queries the engines that are due. Called several times a second. */
     void step() {
         mObserver.step();
+        mMetrics.setLoadedEngines(mRoom.loadedEngines());
     }
 
     void addTo(PathHandler messages) {
