Most daemons of a large failure domain follow others in place of the store

Now the first two daemons by rank of a failure domain with six or more watch the store; each other one polls one of these over the daemons' own links (POST /store-changes). A followed daemon answers when it gets a response of the store, with the changes from a bounded history, the age of that response and how long it held the request. A follower lists and watches the store itself as soon as its last proof is older than a change may be late. Changes are applied only on top of the follower's own revision; a history that is too short, or a later era, makes it list. A build that doesn't know the path answers 404 and is left out. docs/design/following.md says who decides, what happens in each failure and what was weighed.

FollowTimings derives these times too: where daemons follow others, the polls of the followed ones end sooner, since their followers aren't disturbed themselves and have only the time of a change.

FollowingStoreTest plays, on a virtual clock, every moment at which a followed daemon is killed, frozen or cut off from the store, both are, or all connections go silent, against every moment of a change after it, 130 ms apart, and counts no calls of followers in a calm minute. FollowedDaemonsTest: seven daemons, one followed one is closed.

SilentConnectionsTest: its simulated store is a class of its own now, used by both tests; cases and assertions are unchanged. TestGateway reads any metric.

--- a/core/src/main/java/org/amaranthpick/core/store/ObjectStore.java
+++ b/core/src/main/java/org/amaranthpick/core/store/ObjectStore.java
@@ -70,6 +70,12 @@
      */
     long era();
 
+    /**
+     * Closes the idle connections to the store, when connections that are as old as they went
+     * silent.
+     */
+    default void replaceIdleConnections() {}
+
     @Override
     void close();
 }
--- a/core/src/main/java/org/amaranthpick/core/store/WatchPacing.java
+++ b/core/src/main/java/org/amaranthpick/core/store/WatchPacing.java
@@ -18,6 +18,7 @@
 
     private final FollowTimings mTimings;
     private int mDaemons = INITIAL_DAEMONS;
+    private boolean mRelaying;
 
     /**
      * Creates the pacing of the watches of a daemon.
@@ -44,7 +45,7 @@
      * @return time for which further changes are batched
      */
     public Duration batchingDelay(Duration sinceLastChanges) {
-        Duration maxDelay = mTimings.maxBatching();
+        Duration maxDelay = timings().maxBatching();
         if (sinceLastChanges.compareTo(maxDelay.multipliedBy(2)) > 0) {
             return CALM_BATCHING_DELAY;
         }
@@ -55,12 +56,30 @@
         return scaled.compareTo(maxDelay) > 0 ? maxDelay : scaled;
     }
 
+    /**
+     * Sets whether daemons of this failure domain follow others instead of the store.
+     *
+     * @param relaying whether they do
+     */
+    public void setRelaying(boolean relaying) {
+        mRelaying = relaying;
+    }
+
     /**
      * Returns the times derived from the bounds of the deployment.
      *
      * @return times
      */
     public FollowTimings timings() {
-        return mTimings;
+        return mRelaying ? relayingTimings() : mTimings;
+    }
+
+    /**
+     * Returns the times for a failure domain in which daemons follow others.
+     *
+     * @return times
+     */
+    public FollowTimings relayingTimings() {
+        return mTimings.relaying();
     }
 }
--- a/core/src/test/java/org/amaranthpick/core/store/WatchPacingTest.java
+++ b/core/src/test/java/org/amaranthpick/core/store/WatchPacingTest.java
@@ -29,7 +29,7 @@
             long pollWaitMs) {
         WatchPacing pacing =
                 new WatchPacing(
-                        FollowTimings.of(
+                        new FollowTimings(
                                 Duration.ofMillis(maxChangeDelayMs),
                                 Duration.ofMillis(stableWindowMs)));
         pacing.setDaemonCount(daemons);
@@ -42,7 +42,7 @@
     @ValueSource(ints = {1, 13, 95, 440})
     void aChangeAfterACalmIsNotBatchedForLong(int daemons) {
         WatchPacing pacing =
-                new WatchPacing(FollowTimings.of(Duration.ofSeconds(4), Duration.ofSeconds(5)));
+                new WatchPacing(new FollowTimings(Duration.ofSeconds(4), Duration.ofSeconds(5)));
         pacing.setDaemonCount(daemons);
         assertEquals(250, pacing.batchingDelay(Duration.ofSeconds(10)).toMillis());
     }
@@ -51,7 +51,7 @@
     @Test
     void manyDaemonsAreAssumedUntilTheyAreCounted() {
         WatchPacing pacing =
-                new WatchPacing(FollowTimings.of(Duration.ofSeconds(4), Duration.ofSeconds(5)));
+                new WatchPacing(new FollowTimings(Duration.ofSeconds(4), Duration.ofSeconds(5)));
         assertEquals(1200, pacing.batchingDelay(Duration.ofMillis(100)).toMillis());
     }
 
@@ -59,7 +59,7 @@
     @Test
     void aStormOfChangesCostsOneCallForEachBatch() {
         WatchPacing pacing =
-                new WatchPacing(FollowTimings.of(Duration.ofSeconds(4), Duration.ofSeconds(5)));
+                new WatchPacing(new FollowTimings(Duration.ofSeconds(4), Duration.ofSeconds(5)));
         pacing.setDaemonCount(95);
         int calls = 0;
         Duration sinceLast = Duration.ofSeconds(20);
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -36,7 +36,6 @@
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
 import org.amaranthpick.core.store.ObjectStore;
-import org.amaranthpick.core.store.StoreFollower;
 import org.amaranthpick.core.store.WatchPacing;
 import org.amaranthpick.core.store.WriterTokens;
 import org.amaranthpick.server.http.HttpConnector;
@@ -73,8 +72,7 @@
     private final IoThreadScheduler mScheduler;
     private final ConfigurationFollower mConfiguration;
     private final RegisterFollower mRegisterFollower;
-    private final StoreFollower mConfigurationStoreFollower;
-    private final StoreFollower mRegisterStoreFollower;
+    private final StoreFollowing mStoreFollowing;
     private final DaemonCounter mDaemonCounter;
     private final LeaseManager mLease;
     private final LayerPlacementController mLayerPlacement;
@@ -85,7 +83,6 @@
     private final QuarantineGossip mQuarantineGossip;
     private final QuarantineRecords mQuarantineRecords;
     private final GatewayHandler mHandler;
-    private final WatchPacing mPacing;
     private final RandomGenerator mRandom;
     private int mLeaseRank;
     private Undertow mCallerListener;
@@ -126,7 +123,6 @@
         mScheduler = scheduler;
         mListeners = new GatewayListeners(worker);
         mRandom = random;
-        mPacing = pacing;
         UpstreamRegister register = new UpstreamRegister();
         UpstreamHealth health = new UpstreamHealth();
         WriterTokens tokens = new WriterTokens(settings.host(), random.nextLong());
@@ -134,10 +130,7 @@
         mConfiguration = new ConfigurationFollower(decoder, mMetrics);
         mRegisterFollower =
                 new RegisterFollower(decoder, register, scheduler, this::onStoreRestored);
-        mConfigurationStoreFollower =
-                createStoreFollower(store, decoder.configurationPrefix(), random, mConfiguration);
-        mRegisterStoreFollower =
-                createStoreFollower(store, decoder.registerPrefix(), random, mRegisterFollower);
+        mStoreFollowing = createStoreFollowing(store, pacing, decoder);
         mLeaseRank = random.nextInt(CANDIDATE_RANKS);
         mLease =
                 new LeaseManager(
@@ -300,15 +293,26 @@
                 mSettings.host());
     }
 
-    private StoreFollower createStoreFollower(
-            ObjectStore store, String prefix, RandomGenerator random, StoreFollower.Sink sink) {
-        return new StoreFollower(store, prefix, mScheduler, mScheduler, random, sink);
+    private StoreFollowing createStoreFollowing(
+            ObjectStore store, WatchPacing pacing, GatewayDecoder decoder) {
+        return new StoreFollowing(
+                new StoreFollowing.Parts(
+                        mWorker,
+                        mScheduler,
+                        store,
+                        pacing,
+                        mConfiguration,
+                        mRegisterFollower,
+                        mMetrics,
+                        mRandom),
+                mSettings,
+                decoder,
+                mDaemonCounter);
     }
 
     /** Opens the listeners and starts to follow the store. */
     public void start() {
-        mConfigurationStoreFollower.start();
-        mRegisterStoreFollower.start();
+        mStoreFollowing.start();
         mDaemonCounter.start(this::onDaemonCount);
         mQuarantineRecords.load();
         mReadinessListener = mListeners.start(mSettings.readinessAddress(), this::handleReadiness);
@@ -329,6 +333,7 @@
 
     private PathHandler messageHandler() {
         return Handlers.path()
+                .addExactPath(ChangeLink.PATH, mStoreFollowing.link())
                 .addExactPath(mHealthLink.path(), mHealthLink)
                 .addExactPath(mQuarantineLink.path(), mQuarantineLink);
     }
@@ -384,7 +389,7 @@
      * they are drawn again with each new number.
      */
     private void onDaemonCount(int daemons) {
-        mPacing.setDaemonCount(daemons);
+        mStoreFollowing.onDaemonCount(daemons);
         if (!mQuarantineRequested) {
             mQuarantineRequested = true;
             mQuarantineGossip.requestAll();
@@ -422,8 +427,7 @@
     public void close() {
         mScheduler.execute(() -> mClosed = true);
         mDaemonCounter.close();
-        mConfigurationStoreFollower.close();
-        mRegisterStoreFollower.close();
+        mStoreFollowing.close();
         mCallerListener.stop();
         mReadinessListener.stop();
         mMetricsListener.stop();
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -12,6 +13,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.function.IntSupplier;
 import org.amaranthpick.core.gateway.RequestKind;
 import org.amaranthpick.core.reach.RelayReply;
 
@@ -79,6 +81,12 @@
                     .help("Version of the configuration in force")
                     .register(mRegistry);
 
+    private final Counter mStorePollReplacedCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_store_polls_replaced_total")
+                    .help("Polls for changes that another daemon answered in place of the store")
+                    .register(mRegistry);
+
     private static Histogram.Builder histogram(String name, String help) {
         return Histogram.builder()
                 .name("amaranthpick_gateway_" + name)
@@ -111,6 +119,19 @@
         mRelayedCount.labelValues(label(status)).inc();
     }
 
+    void onStorePollReplaced() {
+        mStorePollReplacedCount.inc();
+    }
+
+    /** Shows how many polls of other daemons this one holds; two for each that follows it. */
+    void observeFollowers(IntSupplier held) {
+        GaugeWithCallback.builder()
+                .name("amaranthpick_gateway_store_polls_held")
+                .help("Polls of daemons that follow this one in place of the store")
+                .callback(callback -> callback.call(held.getAsInt()))
+                .register(mRegistry);
+    }
+
     void onFirstEvent(Duration elapsed) {
         mFirstEventTime.observe(seconds(elapsed));
     }
--- a/server/src/main/java/org/amaranthpick/server/http/HttpConnector.java
+++ b/server/src/main/java/org/amaranthpick/server/http/HttpConnector.java
@@ -89,6 +89,17 @@
         prepare(request, listener).start();
     }
 
+    /**
+     * Closes the idle connections to a receiver, when connections that are as old as they went
+     * silent.
+     *
+     * @param address scheme, IP number and port of the receiver
+     */
+    public void closeIdle(URI address) {
+        HostPool pool = pool(address);
+        pool.execute(pool::dropIdle);
+    }
+
     /**
      * Returns the counters of all pools.
      *
