--- a/core/src/main/java/org/amaranthpick/core/quarantine/PartReport.java
+++ b/core/src/main/java/org/amaranthpick/core/quarantine/PartReport.java
@@ -20,11 +20,17 @@
  */
 public record PartReport(
         String part, Map<String, Long> crashAgesMs, long soundAgeMs, List<String> sharedParts) {
+    /** Highest age; one that does not fit into the clock would read as a time to come. */
+    private static final long MAX_AGE_MS = Duration.ofDays(1).toMillis();
+
     /** Copies the map and refuses incomplete reports, as they may come from elsewhere. */
     public PartReport {
         Objects.requireNonNull(part, "a report must name the part");
         Objects.requireNonNull(crashAgesMs, "a report must list the crashes");
-        crashAgesMs = Map.copyOf(crashAgesMs);
+        Map<String, Long> ages = new HashMap<>();
+        crashAgesMs.forEach((id, ageMs) -> ages.put(id, Math.min(ageMs, MAX_AGE_MS)));
+        crashAgesMs = Map.copyOf(ages);
+        soundAgeMs = Math.min(soundAgeMs, MAX_AGE_MS);
         sharedParts = sharedParts == null ? List.of() : List.copyOf(sharedParts);
     }
 
--- a/server/src/main/java/org/amaranthpick/server/gateway/PeerMessageLink.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/PeerMessageLink.java
@@ -146,13 +146,18 @@
     }
 
     private void receive(HttpServerExchange exchange, byte[] body) {
+        exchange.setStatusCode(accept(body) ? StatusCodes.NO_CONTENT : StatusCodes.BAD_REQUEST);
+        exchange.endExchange();
+    }
+
+    /** Hands a message to the receiver; returns whether it could be read and handled. */
+    boolean accept(byte[] body) {
         try {
             mReceiver.accept(MAPPER.readValue(body, mType));
-            exchange.setStatusCode(StatusCodes.NO_CONTENT);
+            return true;
         } catch (IOException | RuntimeException e) {
             sLogger.atInfo().log("gossip: cannot read a message: %s", e.getMessage());
-            exchange.setStatusCode(StatusCodes.BAD_REQUEST);
+            return false;
         }
-        exchange.endExchange();
     }
 }
