Requests of nearly full models wait or are turned away by what it costs callers

Seen: a request is sent at once to the least loaded chain or refused; a burst of a low priority takes the room of a high one, and callers that come back find no other order than before. Cause: priority, time left and work of a request were not weighed, and the order inside one daemon's queue decides little where each has few requests. Why this works: the same rule at each daemon on how full the chains are; room is kept from a request for what costlier ones ask for until it is seen, sends are spaced near the limit, and what waits is ordered by the cost of refusal. While the room is unknown, and for plain services, everything is sent as before. The room is not wired yet (RoomView.unknown()).

--- a/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
@@ -128,9 +128,8 @@
         }
         EngineModel model = service.model().get();
         List<EngineChain> chains =
-                chains(service, model, nowNs).stream()
+                usableChains(service, nowNs).stream()
                         .filter(chain -> tried.stream().noneMatch(chain::contains))
-                        .filter(chain -> mAdmission.admits(chain.firstEngine(), nowNs))
                         .toList();
         if (!chains.isEmpty()) {
             return mLoadBalancer
@@ -146,6 +145,26 @@
                 .map(LeastLoadedTargetPolicy::target);
     }
 
+    /**
+     * Returns the chains that requests can be sent to.
+     *
+     * @param service the service
+     * @param nowNs monotonic time
+     * @return chains, empty for a plain service
+     */
+    public List<EngineChain> usableChains(GatewayService service, long nowNs) {
+        return service.model()
+                .map(
+                        model ->
+                                chains(service, model, nowNs).stream()
+                                        .filter(
+                                                chain ->
+                                                        mAdmission.admits(
+                                                                chain.firstEngine(), nowNs))
+                                        .toList())
+                .orElse(List.of());
+    }
+
     @Override
     public boolean admits(GatewayService service, long nowNs) {
         if (service.model().isEmpty()) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/CallerRequestMetadata.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/CallerRequestMetadata.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.amaranthpick.core.gateway.admission.WorkClaim;
 
 /**
  * Metadata from the headers of a caller's request.
@@ -15,13 +16,15 @@
  *     empty if it starts a new stream
  * @param sharedPromptParts ids of the parts of the prompt that other requests may have in common
  *     with this one, in order
+ * @param work what the caller says about the work that the request needs
  */
 public record CallerRequestMetadata(
         String requestId,
         Optional<Duration> deadline,
         Optional<String> apiKey,
         OptionalLong lastEventId,
-        List<String> sharedPromptParts) {
+        List<String> sharedPromptParts,
+        WorkClaim work) {
     /** Copies the list. */
     public CallerRequestMetadata {
         sharedPromptParts = List.copyOf(sharedPromptParts);
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -29,11 +29,6 @@
     private static final String QUARANTINED =
             "the request or a part of its prompt crashes upstreams";
 
-    private static final String NO_PATH = "no path to the upstreams";
-
-    /** Time after which callers of a host without a path return; other hosts may have one. */
-    private static final Duration NO_PATH_RETRY_TIME = Duration.ofMillis(250);
-
     private final HttpServerExchange mExchange;
     private final ForwardedRequest mRequest;
     private final GatewayContext mContext;
@@ -51,6 +46,7 @@
     private final ExchangeLog mLog;
     private final HealthRecorder mHealth;
     private final SendHistory mSends;
+    private final ExchangeAdmission mAdmission;
     private boolean mStreamStarted;
     private boolean mEnded;
 
@@ -88,6 +84,7 @@
         mStallDetector = new StallDetector(request, context, this);
         mCrashGuard = new PromptCrashGuard(request, context);
         mSends = new SendHistory(request, context, mCrashGuard);
+        mAdmission = new ExchangeAdmission(request, context, this::tryNextUpstream, this::fail);
         mLog = new ExchangeLog(request);
         mHealth = new HealthRecorder(context, mLog);
     }
@@ -101,11 +98,9 @@
         if (!mCrashGuard.admits()) {
             fail(QUARANTINED);
         } else if (mContext.upstreams().isIsolated()) {
-            fail(NO_PATH);
-        } else if (mContext.targetPolicy().admits(mRequest.service(), nowNs())) {
-            tryNextUpstream("first");
+            fail(ExchangeAdmission.NO_PATH);
         } else {
-            fail("most of the capacity is lost");
+            mAdmission.start();
         }
     }
 
@@ -174,6 +169,7 @@
         }
         if (!mStallDetector.hasReceivedEvent()) {
             mHealth.recordSuccess(mAttempt.get().target());
+            mAdmission.onFirstEvent();
         }
         mStallDetector.onEvent();
         mCrashGuard.onEvent();
@@ -228,7 +224,7 @@
         }
         mExcludedUpstreams.add(upstream.id());
         if (mContext.upstreams().isIsolated()) {
-            fail(NO_PATH);
+            fail(ExchangeAdmission.NO_PATH);
         } else if (mSends.admitsFurtherSend()) {
             tryNextUpstream(end.reason());
         } else {
@@ -405,13 +401,11 @@
                     mCrashGuard.quarantineTimeLeft().get());
         } else {
             end("refused", reason);
-            Optional<Duration> drainTime =
-                    mContext.upstreams().isIsolated()
-                            ? Optional.of(NO_PATH_RETRY_TIME)
-                            : mContext.targetPolicy()
-                                    .expectedCapacityTime(mRequest.service(), nowNs());
             mResponses.sendNotRun(
-                    mExchange, mRequest.metadata().requestId(), remainingTime(), drainTime);
+                    mExchange,
+                    mRequest.metadata().requestId(),
+                    remainingTime(),
+                    mAdmission.retryTime());
         }
     }
 
@@ -420,6 +414,7 @@
         mDeadlineTimer.cancel();
         mStallDetector.stop();
         mDisconnectDetector.stop();
+        mAdmission.close(outcome.equals("answered"));
         logRequest(outcome, reason);
         mContext.metrics().onRequestEnd(mRequest.route().kind(), outcome, elapsed());
         mListener.onEnded(this);
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -17,6 +17,8 @@
 import java.util.random.RandomGenerator;
 import org.amaranthpick.core.explain.DecisionLog;
 import org.amaranthpick.core.gateway.LeastLoadedTargetPolicy;
+import org.amaranthpick.core.gateway.admission.ChainRoom;
+import org.amaranthpick.core.gateway.admission.LoadAdmission;
 import org.amaranthpick.core.invariant.Invariants;
 import org.amaranthpick.core.layers.CachingEngineControl;
 import org.amaranthpick.core.layers.EngineControl;
@@ -35,6 +37,7 @@
 import org.amaranthpick.core.register.UpstreamAdmission;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
+import org.amaranthpick.core.room.RoomView;
 import org.amaranthpick.core.store.ObjectStore;
 import org.amaranthpick.core.store.StoreFollower;
 import org.amaranthpick.core.store.WatchPacing;
@@ -256,6 +259,14 @@
             GatewayDialect dialect,
             EngineControl engines,
             PromptQuarantine quarantine) {
+        LeastLoadedTargetPolicy targetPolicy =
+                new LeastLoadedTargetPolicy(
+                        register,
+                        health,
+                        admission,
+                        mSettings.domain(),
+                        mDaemonCounter::count,
+                        mRandom);
         return new GatewayContext(
                 mSettings.host(),
                 mScheduler,
@@ -265,13 +276,11 @@
                 register,
                 health,
                 admission,
-                new LeastLoadedTargetPolicy(
-                        register,
-                        health,
-                        admission,
-                        mSettings.domain(),
+                targetPolicy,
+                new LoadAdmission(
+                        new ChainRoom(targetPolicy, RoomView.unknown()),
                         mDaemonCounter::count,
-                        mRandom),
+                        mScheduler),
                 new CachingEngineControl(engines, mScheduler),
                 quarantine,
                 new CrashDetector(engines, quarantine, mScheduler),
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
@@ -2,6 +2,7 @@
 
 import java.util.random.RandomGenerator;
 import org.amaranthpick.core.gateway.LeastLoadedTargetPolicy;
+import org.amaranthpick.core.gateway.admission.LoadAdmission;
 import org.amaranthpick.core.layers.EngineControl;
 import org.amaranthpick.core.quarantine.PromptQuarantine;
 import org.amaranthpick.core.reach.UpstreamPaths;
@@ -22,6 +23,7 @@
  * @param health health of the upstreams as observed from the forwarded requests
  * @param admission whether upstreams may get requests, by what they say themselves
  * @param targetPolicy selects the target of each attempt
+ * @param loadAdmission which requests of models are sent, wait or are turned away
  * @param engines queries engines for their state
  * @param quarantine requests and parts of prompts that crash upstreams
  * @param crashes finds out which engines have crashed
@@ -39,6 +41,7 @@
         UpstreamHealth health,
         UpstreamAdmission admission,
         LeastLoadedTargetPolicy targetPolicy,
+        LoadAdmission loadAdmission,
         EngineControl engines,
         PromptQuarantine quarantine,
         CrashDetector crashes,
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -13,10 +13,14 @@
 import java.time.Duration;
 import java.util.Locale;
 import org.amaranthpick.core.gateway.RequestKind;
+import org.amaranthpick.core.gateway.admission.LoadDecision;
 import org.amaranthpick.core.reach.RelayReply;
 
 /** Counters and latency histograms of a gateway. */
 final class GatewayMetrics {
+    /** Bounds the number of time series. */
+    private static final int MAX_PRIORITY = 9;
+
     private static final double NS_PER_SECOND = 1e9;
     private static final double[] BUCKETS_SECONDS = {
         0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.35, 0.5, 0.75, 1, 2, 4, 8, 20
@@ -79,6 +83,17 @@
                     .help("Version of the configuration in force")
                     .register(mRegistry);
 
+    private final Counter mAdmissionCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_admission_total")
+                    .help("Decisions on requests of models, by priority, reason and outcome")
+                    .labelNames("priority", "reason", "outcome")
+                    .register(mRegistry);
+    private final Histogram mAdmissionTime =
+            histogram("admission_seconds", "Time that requests waited for room, by outcome")
+                    .labelNames("outcome")
+                    .register(mRegistry);
+
     private static Histogram.Builder histogram(String name, String help) {
         return Histogram.builder()
                 .name("amaranthpick_gateway_" + name)
@@ -124,6 +139,17 @@
         mResponseTime.labelValues(label(kind), outcome).observe(seconds(elapsed));
     }
 
+    void onAdmission(int priority, LoadDecision decision) {
+        String outcome = label(decision.outcome());
+        mAdmissionCount
+                .labelValues(
+                        Integer.toString(Math.max(0, Math.min(MAX_PRIORITY, priority))),
+                        label(decision.reason()),
+                        outcome)
+                .inc();
+        mAdmissionTime.labelValues(outcome).observe(seconds(decision.waited()));
+    }
+
     void onConfigurationVersion(long version) {
         mConfigurationVersion.set((double) version);
     }
