--- a/core/src/main/java/org/amaranthpick/core/gateway/admission/LoadAdmission.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/admission/LoadAdmission.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.IntSupplier;
+import org.amaranthpick.core.gateway.RecentServices;
 import org.amaranthpick.core.time.Scheduler;
 
 /**
@@ -19,7 +20,7 @@
     private final RoomSource mRooms;
     private final IntSupplier mDaemons;
     private final Scheduler mScheduler;
-    private final Map<String, ServiceAdmission> mServices = new HashMap<>();
+    private final Map<String, ServiceAdmission> mServices = new RecentServices<>();
     private final Map<String, CallerTimes> mCallers = new HashMap<>();
 
     /**
--- a/core/src/main/java/org/amaranthpick/core/gateway/admission/ModelRoom.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/admission/ModelRoom.java
@@ -23,20 +23,18 @@
         double totalTokens,
         double freeTokens,
         Optional<Duration> closedFor) {
-    /** Part of the memory whose fill must be known. */
-    private static final double MIN_KNOWN_FRACTION = 0.5;
-
     /**
-     * Adds up the room of chains.
+     * Adds up the room of chains. One whose fill is unknown counts as empty: an engine that has
+     * just come back has not been observed yet, and one that is hardly used is not reported.
      *
      * @param chains chains that can be used
      * @param view room of each
      * @param nowNs monotonic time
-     * @return room; empty if the fill of most of the memory is unknown
+     * @return room; empty if the fill of no chain is known
      */
     public static Optional<ModelRoom> of(List<EngineChain> chains, RoomView view, long nowNs) {
         double totalTokens = 0;
-        double knownTokens = 0;
+        boolean known = false;
         double freeTokens = 0;
         double bestFill = Double.MAX_VALUE;
         double bestTokens = 0;
@@ -44,16 +42,14 @@
             double tokens = Math.max(1, chain.kvCapacityTokens());
             totalTokens += tokens;
             OptionalDouble fill = view.fill(chain, nowNs);
-            if (fill.isPresent()) {
-                knownTokens += tokens;
-                freeTokens += tokens * Math.max(0, 1 - fill.getAsDouble());
-                if (fill.getAsDouble() < bestFill) {
-                    bestFill = fill.getAsDouble();
-                    bestTokens = tokens;
-                }
+            known |= fill.isPresent();
+            freeTokens += tokens * Math.max(0, 1 - fill.orElse(0));
+            if (fill.orElse(0) < bestFill) {
+                bestFill = fill.orElse(0);
+                bestTokens = tokens;
             }
         }
-        return knownTokens > 0 && knownTokens >= MIN_KNOWN_FRACTION * totalTokens
+        return known
                 ? Optional.of(
                         new ModelRoom(
                                 bestFill, bestTokens, totalTokens, freeTokens, Optional.empty()))
--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlacementController.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlacementController.java
@@ -4,11 +4,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.amaranthpick.core.gateway.CardKind;
@@ -34,13 +32,6 @@
     /** Time beyond the expected load after which an order without effect is sent again. */
     private static final Duration ORDER_TIMEOUT_SLACK = Duration.ofSeconds(4);
 
-    /**
-     * Time for which the engines of a domain must stay the same before engines that hold layers get
-     * other ones. Such an order stops the streams of the engine's chain, while engines that crashed
-     * or were partitioned mostly register again within this time.
-     */
-    public static final Duration STABILITY_PERIOD = Duration.ofSeconds(3);
-
     /** Wait before the next order to an engine that refused one. */
     private static final Duration REFUSAL_BACKOFF = Duration.ofSeconds(2);
 
@@ -52,17 +43,18 @@
     private final Scheduler mScheduler;
     private final Executor mExecutor;
     private final Map<String, PendingOrder> mPending = new HashMap<>();
-    private final Map<String, DomainMembers> mMembers = new HashMap<>();
+    private final Map<String, RepairDelay> mRepairDelays = new HashMap<>();
     private final Map<String, KnownOrderCount> mOrderCounts = new HashMap<>();
 
-    /** Engines of a domain, and the time since which this set has not changed. */
-    private record DomainMembers(Set<String> ids, long sinceNs) {}
-
     /** Last known number of orders that an engine has begun since its start. */
     private record KnownOrderCount(long startedAtMs, long ordersBegun) {}
 
     /** Order in progress; if it has no layers, a wait after a refused order. */
-    private record PendingOrder(Optional<LayerRange> layers, long startedAtMs, long untilNs) {}
+    private record PendingOrder(
+            Optional<LayerRange> layers, LoadPurpose purpose, long startedAtMs, Times times) {}
+
+    /** Predicted end of the load, and time from which the engine may be ordered again. */
+    private record Times(long loadedNs, long untilNs) {}
 
     /**
      * Creates a controller without pending orders.
@@ -97,7 +89,7 @@
         Optional<Lease> lease = mLease.held();
         if (lease.isEmpty() || mConfiguration.get().isEmpty()) {
             mPending.clear();
-            mMembers.clear();
+            mRepairDelays.clear();
             return;
         }
         removeFinishedOrders();
@@ -114,7 +106,7 @@
                             Optional<UpstreamEntry> entry = mRegister.findById(e.getKey());
                             PendingOrder pending = e.getValue();
                             return entry.isEmpty()
-                                    || nowNs >= pending.untilNs()
+                                    || nowNs >= pending.times().untilNs()
                                     || entry.get().startedAtMs() != pending.startedAtMs()
                                     || (pending.layers().isPresent()
                                             && entry.get().layers().equals(pending.layers()));
@@ -138,44 +130,58 @@
                     new EngineLayerState(
                             entry.id(), entry.domain(), card, layers, pending == null));
         }
-        trackMembers(service, nowNs);
-        for (LayerOrder order :
-                new LayerPlanner(model).plan(engines, domain -> isStable(service, domain, nowNs))) {
-            mRegister.findById(order.engineId()).ifPresent(e -> issue(e, order, model, lease));
+        LayerPlanner planner = new LayerPlanner(model);
+        RepairDelay delay = mRepairDelays.computeIfAbsent(service, s -> new RepairDelay());
+        delay.onMembers(mRegister.findByService(service), nowNs);
+        for (List<EngineLayerState> group : planner.groupByDomain(engines)) {
+            delay.onHolders(group, planner.countHolders(group), nowNs);
         }
-    }
-
-    private void trackMembers(String service, long nowNs) {
-        Map<String, Set<String>> present = new HashMap<>();
-        for (UpstreamEntry entry : mRegister.findByService(service)) {
-            present.computeIfAbsent(entry.domain(), domain -> new HashSet<>()).add(entry.id());
+        List<LayerOrder> planned =
+                planner.plan(engines, domain -> delay.allowsRepair(domain, nowNs));
+        boolean nothingHeld =
+                mRegister.findByService(service).stream().allMatch(e -> e.layers().isEmpty());
+        List<LayerOrder> orders =
+                nothingHeld
+                        ? planned
+                        : LoadSchedule.select(planned, loadsInProgress(engines, nowNs), model);
+        int parallelLoads =
+                nothingHeld ? 1 : loadsInProgress(engines, nowNs).size() + orders.size();
+        for (LayerOrder order : orders) {
+            mRegister
+                    .findById(order.engineId())
+                    .ifPresent(e -> issue(e, order, model, parallelLoads, lease));
         }
-        present.forEach(
-                (domain, ids) -> {
-                    DomainMembers previous = mMembers.get(service + "/" + domain);
-                    if (previous == null || !previous.ids().equals(ids)) {
-                        mMembers.put(service + "/" + domain, new DomainMembers(ids, nowNs));
-                    }
-                });
     }
 
-    private boolean isStable(String service, String domain, long nowNs) {
-        DomainMembers members = mMembers.get(service + "/" + domain);
-        return members != null && nowNs - members.sinceNs() >= STABILITY_PERIOD.toNanos();
+    private List<LoadPurpose> loadsInProgress(List<EngineLayerState> engines, long nowNs) {
+        List<LoadPurpose> purposes = new ArrayList<>();
+        for (EngineLayerState engine : engines) {
+            PendingOrder pending = mPending.get(engine.id());
+            if (pending != null
+                    && pending.layers().isPresent()
+                    && nowNs < pending.times().loadedNs()) {
+                purposes.add(pending.purpose());
+            }
+        }
+        return purposes;
     }
 
-    private void issue(UpstreamEntry engine, LayerOrder order, EngineModel model, Lease lease) {
-        Duration loadTime =
-                Duration.ofMillis(
-                        (long)
-                                (1000
-                                        * model.loadSeconds()
-                                        * order.layers().size()
-                                        / model.layers()));
-        long untilNs = mScheduler.monotonicNs() + loadTime.plus(ORDER_TIMEOUT_SLACK).toNanos();
+    private void issue(
+            UpstreamEntry engine,
+            LayerOrder order,
+            EngineModel model,
+            int parallelLoads,
+            Lease lease) {
+        long loadedNs =
+                mScheduler.monotonicNs()
+                        + model.loadTime(order.layers().size(), parallelLoads).toNanos();
         mPending.put(
                 engine.id(),
-                new PendingOrder(Optional.of(order.layers()), engine.startedAtMs(), untilNs));
+                new PendingOrder(
+                        Optional.of(order.layers()),
+                        order.purpose(),
+                        engine.startedAtMs(),
+                        new Times(loadedNs, loadedNs + ORDER_TIMEOUT_SLACK.toNanos())));
         Optional<Long> ordersBegun = knownOrdersBegun(engine);
         if (ordersBegun.isEmpty()) {
             queryOrdersBegun(engine, () -> send(engine, order, lease));
@@ -226,7 +232,12 @@
         } else if (!(outcome instanceof OrderOutcome.Unknown)) {
             long untilNs = mScheduler.monotonicNs() + REFUSAL_BACKOFF.toNanos();
             mPending.put(
-                    engine.id(), new PendingOrder(Optional.empty(), engine.startedAtMs(), untilNs));
+                    engine.id(),
+                    new PendingOrder(
+                            Optional.empty(),
+                            LoadPurpose.COPY,
+                            engine.startedAtMs(),
+                            new Times(untilNs, untilNs)));
             queryOrdersBegun(engine, () -> {});
         }
     }
--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
@@ -1,13 +1,17 @@
 package org.amaranthpick.core.layers;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import org.amaranthpick.core.gateway.EngineModel;
 import org.amaranthpick.core.manifest.LayerRange;
 
@@ -49,24 +53,49 @@
     }
 
     /**
-     * Computes the orders that move the held layers towards the planned placement.
+     * Computes the orders that move the held layers towards the planned placement. An engine whose
+     * layers are out of the model's range is not one of the model, and is left out.
      *
      * @param engines engines in service
-     * @param stable whether the engines of a failure domain have been the same for a while; where
-     *     they have not, only empty engines get orders, since lost engines may be back soon
+     * @param stable whether engines of a failure domain that hold layers may get other ones; where
+     *     they may not, only empty engines get orders, since lost engines may be back soon
      * @return orders to send now, at most one for each engine
      */
     public List<LayerOrder> plan(List<EngineLayerState> engines, Predicate<String> stable) {
         List<LayerOrder> orders = new ArrayList<>();
-        for (List<EngineLayerState> group : groupByDomain(engines)) {
-            planGroup(group, stable, orders);
-        }
-        return orders;
+        List<List<EngineLayerState>> groups = groupByDomain(engines);
+        groups.forEach(group -> planGroup(group, stable, orders));
+        int[] holders = countHolders(groups.stream().flatMap(List::stream).toList());
+        return orders.stream().map(order -> withFleetPurpose(order, holders)).toList();
+    }
+
+    private boolean isOfModel(EngineLayerState engine) {
+        return engine.layers().map(range -> range.to() <= mModel.layers()).orElse(true);
     }
 
-    private List<List<EngineLayerState>> groupByDomain(List<EngineLayerState> engines) {
+    private static LayerOrder withFleetPurpose(LayerOrder order, int[] holders) {
+        boolean missing =
+                order.purpose() == LoadPurpose.MISSING_IN_DOMAIN
+                        && IntStream.range(order.layers().from(), order.layers().to())
+                                .anyMatch(layer -> holders[layer] == 0);
+        return missing
+                ? new LayerOrder(
+                        order.engineId(),
+                        order.layers(),
+                        LoadPurpose.MISSING_EVERYWHERE,
+                        order.reason())
+                : order;
+    }
+
+    /**
+     * Divides the engines of the model into those whose failure domains hold copies together.
+     *
+     * @param engines engines in service
+     * @return a group for each domain with enough memory, and one of the other domains
+     */
+    List<List<EngineLayerState>> groupByDomain(List<EngineLayerState> engines) {
         Map<String, List<EngineLayerState>> byDomain = new LinkedHashMap<>();
-        for (EngineLayerState engine : engines) {
+        for (EngineLayerState engine : engines.stream().filter(this::isOfModel).toList()) {
             byDomain.computeIfAbsent(engine.domain(), d -> new ArrayList<>()).add(engine);
         }
         List<List<EngineLayerState>> groups = new ArrayList<>();
@@ -92,41 +121,87 @@
             List<EngineLayerState> group, Predicate<String> stable, List<LayerOrder> orders) {
         double reservedTokens = plannedKvTokens(group);
         int[] holders = countHolders(group);
+        fillEmptyEngines(group, holders, orders, reservedTokens);
+        if (group.stream().map(EngineLayerState::domain).allMatch(stable)) {
+            fillGaps(group, holders, orders, reservedTokens);
+        }
+        growRanges(group, holders, orders, reservedTokens);
+    }
+
+    private void fillEmptyEngines(
+            List<EngineLayerState> group,
+            int[] holders,
+            List<LayerOrder> orders,
+            double reservedTokens) {
         List<EngineLayerState> empty = new ArrayList<>();
         for (EngineLayerState engine : group) {
-            if (engine.acceptsOrders() && engine.layers().isEmpty()) {
+            if (engine.acceptsOrders()
+                    && engine.layers().isEmpty()
+                    && layerCapacity(engine, reservedTokens) > 0) {
                 empty.add(engine);
             }
         }
         empty.sort(
                 Comparator.comparingDouble((EngineLayerState e) -> layerMs(e, reservedTokens))
                         .thenComparing(EngineLayerState::id));
+        boolean firstPlan = Arrays.stream(holders).allMatch(count -> count == 0);
+        MissingLayerSplit split = new MissingLayerSplit(mModel, empty.size());
         int copies = 0;
         for (EngineLayerState engine : empty) {
-            int capacity = layerCapacity(engine, reservedTokens);
-            if (capacity == 0) {
-                continue;
-            }
             Optional<Integer> gap = firstLayerBelow(holders, copies + 1);
             while (gap.isEmpty()) {
                 copies++;
                 gap = firstLayerBelow(holders, copies + 1);
             }
             String reason = copies == 0 ? "missing layers" : "copy " + (copies + 1);
-            orders.add(order(engine, gap.get(), capacity, holders, reason));
+            int capacity = layerCapacity(engine, reservedTokens);
+            int size =
+                    copies == 0 && !firstPlan ? split.next(capacity, holders, gap.get()) : capacity;
+            orders.add(order(engine, gap.get(), size, holders, reason));
         }
-        if (group.stream().map(EngineLayerState::domain).allMatch(stable)) {
-            fillGaps(group, holders, orders, reservedTokens);
+    }
+
+    private void growRanges(
+            List<EngineLayerState> group,
+            int[] holders,
+            List<LayerOrder> orders,
+            double reservedTokens) {
+        if (firstLayerBelow(holders, 1).isPresent()) {
+            return;
+        }
+        Set<String> ordered = new HashSet<>();
+        orders.forEach(order -> ordered.add(order.engineId()));
+        for (EngineLayerState engine : group) {
+            int capacity = layerCapacity(engine, reservedTokens);
+            if (!engine.acceptsOrders()
+                    || ordered.contains(engine.id())
+                    || engine.layers()
+                            .filter(range -> RangeGrowth.isPartial(range, capacity, holders.length))
+                            .isEmpty()) {
+                continue;
+            }
+            LayerRange current = engine.layers().get();
+            LayerRange grown = RangeGrowth.extend(current, capacity, holders);
+            for (int layer = grown.from(); layer < grown.to(); layer++) {
+                holders[layer] += layer < current.from() || layer >= current.to() ? 1 : 0;
+            }
+            orders.add(
+                    new LayerOrder(
+                            engine.id(), grown, LoadPurpose.COPY, "copies beside held layers"));
         }
     }
 
     private LayerOrder order(
             EngineLayerState engine, int from, int size, int[] holders, String reason) {
         int to = Math.min(from + size, mModel.layers());
+        LoadPurpose purpose = LoadPurpose.COPY;
         for (int layer = from; layer < to; layer++) {
+            if (holders[layer] == 0) {
+                purpose = LoadPurpose.MISSING_IN_DOMAIN;
+            }
             holders[layer]++;
         }
-        return new LayerOrder(engine.id(), new LayerRange(from, to), reason);
+        return new LayerOrder(engine.id(), new LayerRange(from, to), purpose, reason);
     }
 
     /** Returns the token latency of one layer on an engine, with its share of the transfer. */
@@ -233,7 +308,10 @@
             holders[layer]++;
         }
         return new LayerOrder(
-                engine.id(), new LayerRange(from, to), "missing layers, added to adjacent ones");
+                engine.id(),
+                new LayerRange(from, to),
+                LoadPurpose.MISSING_IN_DOMAIN,
+                "missing layers, added to adjacent ones");
     }
 
     private static boolean canBeOrdered(EngineLayerState engine, Map<String, Boolean> ordered) {
@@ -251,14 +329,19 @@
         return true;
     }
 
-    private int[] countHolders(List<EngineLayerState> group) {
+    /**
+     * Counts the engines that hold each layer.
+     *
+     * @param group engines
+     * @return number of engines by layer
+     */
+    int[] countHolders(List<EngineLayerState> group) {
         int[] holders = new int[mModel.layers()];
         for (EngineLayerState engine : group) {
             engine.layers()
                     .ifPresent(
                             range -> {
-                                int to = Math.min(range.to(), holders.length);
-                                for (int layer = range.from(); layer < to; layer++) {
+                                for (int layer = range.from(); layer < range.to(); layer++) {
                                     holders[layer]++;
                                 }
                             });
--- a/core/src/test/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicyTest.java
+++ b/core/src/test/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicyTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.amaranthpick.core.manifest.LayerRange;
@@ -18,6 +19,7 @@
 import org.amaranthpick.core.register.UpstreamEntry;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
+import org.amaranthpick.core.room.RoomView;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -36,6 +38,7 @@
                     100,
                     50,
                     1,
+                    OptionalInt.empty(),
                     1,
                     1000,
                     1,
@@ -50,7 +53,13 @@
     private final UpstreamAdmission mAdmission = new UpstreamAdmission(mRateLimits);
     private final LeastLoadedTargetPolicy mPolicy =
             new LeastLoadedTargetPolicy(
-                    mRegister, mHealth, mAdmission, "home", () -> 1, new SplittableRandom(2));
+                    mRegister,
+                    mHealth,
+                    mAdmission,
+                    "home",
+                    () -> 1,
+                    RoomView.unknown(),
+                    new SplittableRandom(2));
 
     /** Registers four chains of two engines each. */
     @BeforeEach
--- a/core/src/test/java/org/amaranthpick/core/gateway/admission/AdmissionPartsTest.java
+++ b/core/src/test/java/org/amaranthpick/core/gateway/admission/AdmissionPartsTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.amaranthpick.core.gateway.EngineModel;
 import org.amaranthpick.core.gateway.GatewayRoute;
@@ -26,7 +27,8 @@
 
 class AdmissionPartsTest {
     private static final EngineModel MODEL =
-            new EngineModel(8, 1, 1, 10, 1, 0, 0, 1, 800, 200, 1, 1, 1, 1, Map.of());
+            new EngineModel(
+                    8, 1, 1, 10, 1, 0, 0, 1, 800, 200, 1, OptionalInt.empty(), 1, 1, 1, Map.of());
     private static final GatewayService SERVICE =
             new GatewayService("llm", 100, Optional.of(MODEL));
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
--- a/core/src/test/java/org/amaranthpick/core/gateway/admission/ReplayFleet.java
+++ b/core/src/test/java/org/amaranthpick/core/gateway/admission/ReplayFleet.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import org.amaranthpick.core.gateway.EngineModel;
 import org.amaranthpick.core.gateway.GatewayRoute;
@@ -36,7 +37,22 @@
                     100,
                     Optional.of(
                             new EngineModel(
-                                    8, 1, 1, 10, 1, 0, 0, 1, 700, 300, 1, 1, 1, 1, Map.of())));
+                                    8,
+                                    1,
+                                    1,
+                                    10,
+                                    1,
+                                    0,
+                                    0,
+                                    1,
+                                    700,
+                                    300,
+                                    1,
+                                    OptionalInt.empty(),
+                                    1,
+                                    1,
+                                    1,
+                                    Map.of())));
 
     /** How requests are admitted and how engines order their queues. */
     enum Policy {
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.google.common.flogger.FluentLogger;
 import io.undertow.Handlers;
-import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.PathHandler;
 import io.undertow.util.StatusCodes;
@@ -37,11 +36,11 @@
 import org.amaranthpick.core.register.UpstreamAdmission;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
-import org.amaranthpick.core.room.RoomView;
 import org.amaranthpick.core.store.ObjectStore;
 import org.amaranthpick.core.store.StoreFollower;
 import org.amaranthpick.core.store.WatchPacing;
 import org.amaranthpick.core.store.WriterTokens;
+import org.amaranthpick.core.time.TaskGuard;
 import org.amaranthpick.server.http.HttpConnector;
 import org.amaranthpick.server.time.IoThreadScheduler;
 import org.xnio.XnioWorker;
@@ -50,9 +49,6 @@
 public final class Gateway implements AutoCloseable {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
-    /** Fraction of the fixed retry budget that all daemons together use. */
-    private static final double RETRY_EXTRA_FRACTION = 0.7;
-
     private static final String HEALTH_NOTES_PATH = "/health-notes";
     private static final String QUARANTINE_PATH = "/quarantine";
     private static final Duration CONTROL_PERIOD = Duration.ofMillis(250);
@@ -83,6 +79,7 @@
     private final LayerPlacementController mLayerPlacement;
     private final HttpConnector mPeerConnector;
     private final UpstreamReach mReach;
+    private final RoomObservation mRoomObservation;
     private final PeerMessageLink<HealthNote[]> mHealthLink;
     private final PeerMessageLink<QuarantineMessage> mQuarantineLink;
     private final QuarantineGossip mQuarantineGossip;
@@ -91,10 +88,6 @@
     private final WatchPacing mPacing;
     private final RandomGenerator mRandom;
     private int mLeaseRank;
-    private Undertow mCallerListener;
-    private Undertow mReadinessListener;
-    private Undertow mMetricsListener;
-    private Optional<Undertow> mPeerListener = Optional.empty();
     private boolean mDraining;
     private boolean mClosed;
     private boolean mQuarantineRequested;
@@ -153,15 +146,8 @@
         connectHealthGossip(register, health, rateLimits, admission.leaving());
         mReach = createReach(dialect, register, health, admission);
         EngineControl engineControl = mReach.obeyPauses(engines.apply(mReach.connector()));
-        mLayerPlacement =
-                new LayerPlacementController(
-                        mConfiguration::current,
-                        register,
-                        health,
-                        engineControl,
-                        mLease,
-                        scheduler,
-                        scheduler);
+        mRoomObservation = createRoomObservation(register, engineControl);
+        mLayerPlacement = createLayerPlacement(register, health, engineControl);
         PromptQuarantine quarantine = new PromptQuarantine();
         mQuarantineLink =
                 new PeerMessageLink<>(mPeerConnector, QUARANTINE_PATH, new TypeReference<>() {});
@@ -201,6 +187,24 @@
                 mRandom);
     }
 
+    private RoomObservation createRoomObservation(
+            UpstreamRegister register, EngineControl engines) {
+        return new RoomObservation(
+                mSettings,
+                mPeerConnector,
+                mDaemonCounter,
+                () -> RoomObservation.modelEngines(mConfiguration.current(), register),
+                engines,
+                mScheduler,
+                mRandom);
+    }
+
+    private LayerPlacementController createLayerPlacement(
+            UpstreamRegister register, UpstreamHealth health, EngineControl engines) {
+        return new LayerPlacementController(
+                mConfiguration::current, register, health, engines, mLease, mScheduler, mScheduler);
+    }
+
     private DaemonCounter createDaemonCounter(
             ObjectStore store, WriterTokens tokens, RandomGenerator random) {
         return new DaemonCounter(
@@ -266,6 +270,7 @@
                         admission,
                         mSettings.domain(),
                         mDaemonCounter::count,
+                        mRoomObservation.room(),
                         mRandom);
         return new GatewayContext(
                 mSettings.host(),
@@ -278,24 +283,18 @@
                 admission,
                 targetPolicy,
                 new LoadAdmission(
-                        new ChainRoom(targetPolicy, RoomView.unknown()),
+                        new ChainRoom(targetPolicy, mRoomObservation.room()),
                         mDaemonCounter::count,
                         mScheduler),
+                mRoomObservation.room(),
                 new CachingEngineControl(engines, mScheduler),
                 quarantine,
                 new CrashDetector(engines, quarantine, mScheduler),
-                new RetryBudgets(
-                        mSettings.retryBudgetRatio(),
-                        this::retryBudgetPart,
-                        mSettings.retryBudgetWindow()),
+                new RetryBudgets(mSettings, mDaemonCounter::count),
                 mMetrics,
                 mRandom);
     }
 
-    private double retryBudgetPart() {
-        return mSettings.retryBudgetExtra() * RETRY_EXTRA_FRACTION / mDaemonCounter.count();
-    }
-
     private LeaseContext leaseContext(
             ObjectStore store, WriterTokens tokens, DecisionLog decisions, RandomGenerator random) {
         return new LeaseContext(
@@ -316,30 +315,30 @@
 
     /** Opens the listeners and starts to follow the store. */
     public void start() {
+        mScheduler.setOnTaskFailed(mMetrics::onTaskFailed);
         mConfigurationStoreFollower.start();
         mRegisterStoreFollower.start();
         mDaemonCounter.start(this::onDaemonCount);
         mQuarantineRecords.load();
-        mReadinessListener = mListeners.start(mSettings.readinessAddress(), this::handleReadiness);
-        mCallerListener = mListeners.start(mSettings.callerAddress(), mHandler);
-        mMetricsListener = mListeners.start(mSettings.metricsAddress(), mMetrics::write);
-        mPeerListener =
-                mSettings
-                        .peerAddress()
-                        .map(
-                                address ->
-                                        mListeners.start(
-                                                address, mReach.handler(messageHandler())));
-        mScheduler.schedule(Duration.ZERO, this::runControlStep);
+        mListeners.start(mSettings.readinessAddress(), this::handleReadiness);
+        mListeners.start(mSettings.callerAddress(), mHandler);
+        mListeners.start(mSettings.metricsAddress(), mMetrics::write);
+        mSettings
+                .peerAddress()
+                .ifPresent(address -> mListeners.start(address, mReach.handler(messageHandler())));
+        mScheduler.execute(this::runControlSteps);
         sLogger.atInfo().log(
                 "start: host=%s domain=%s callers=%s",
                 mSettings.host(), mSettings.domain(), mSettings.callerAddress());
     }
 
     private PathHandler messageHandler() {
-        return Handlers.path()
-                .addExactPath(mHealthLink.path(), mHealthLink)
-                .addExactPath(mQuarantineLink.path(), mQuarantineLink);
+        PathHandler messages =
+                Handlers.path()
+                        .addExactPath(mHealthLink.path(), mHealthLink)
+                        .addExactPath(mQuarantineLink.path(), mQuarantineLink);
+        mRoomObservation.addTo(messages);
+        return messages;
     }
 
     /**
@@ -403,12 +402,22 @@
         }
     }
 
-    private void runControlStep() {
-        if (mDraining || mClosed) {
-            return;
-        }
+    private void runControlSteps() {
+        TaskGuard guard = new TaskGuard(mScheduler);
+        guard.repeat(
+                "control",
+                CONTROL_PERIOD,
+                () -> mDraining || mClosed,
+                () -> {
+                    guard.run("probes", mReach::step);
+                    guard.run("engine loads", mRoomObservation::step);
+                    guard.run("lease", this::stepLease);
+                    guard.run("layers", mLayerPlacement::step);
+                });
+    }
+
+    private void stepLease() {
         boolean synced = mConfiguration.current().isPresent() && mRegisterFollower.isListed();
-        mReach.step();
         boolean candidate =
                 synced && mLeaseRank < CANDIDATE_RANKS && !mReach.isPartitionedForLong();
         if (mReach.isPartitionedForLong() && mLease.held().isPresent()) {
@@ -416,8 +425,6 @@
             mLease.release();
         }
         mLease.step(candidate ? Optional.of(mLeaseRank) : Optional.empty());
-        mLayerPlacement.step();
-        mScheduler.schedule(CONTROL_PERIOD, this::runControlStep);
     }
 
     private void handleReadiness(HttpServerExchange exchange) {
@@ -433,10 +440,7 @@
         mDaemonCounter.close();
         mConfigurationStoreFollower.close();
         mRegisterStoreFollower.close();
-        mCallerListener.stop();
-        mReadinessListener.stop();
-        mMetricsListener.stop();
-        mPeerListener.ifPresent(Undertow::stop);
+        mListeners.close();
         mPeerConnector.close();
         mReach.close();
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
@@ -9,6 +9,7 @@
 import org.amaranthpick.core.register.UpstreamAdmission;
 import org.amaranthpick.core.register.UpstreamHealth;
 import org.amaranthpick.core.register.UpstreamRegister;
+import org.amaranthpick.core.room.ReportedRoom;
 import org.amaranthpick.server.time.IoThreadScheduler;
 
 /**
@@ -24,6 +25,7 @@
  * @param admission whether upstreams may get requests, by what they say themselves
  * @param targetPolicy selects the target of each attempt
  * @param loadAdmission which requests of models are sent, wait or are turned away
+ * @param room how full the chains are
  * @param engines queries engines for their state
  * @param quarantine requests and parts of prompts that crash upstreams
  * @param crashes finds out which engines have crashed
@@ -42,6 +44,7 @@
         UpstreamAdmission admission,
         LeastLoadedTargetPolicy targetPolicy,
         LoadAdmission loadAdmission,
+        ReportedRoom room,
         EngineControl engines,
         PromptQuarantine quarantine,
         CrashDetector crashes,
--- a/server/src/main/java/org/amaranthpick/server/gateway/RetryBudgets.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RetryBudgets.java
@@ -1,22 +1,26 @@
 package org.amaranthpick.server.gateway;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.IntSupplier;
+import org.amaranthpick.core.gateway.RecentServices;
 import org.amaranthpick.core.gateway.RetryBudget;
 
 /** Retry budget of each service. Confined to one thread. */
 final class RetryBudgets {
-    private final Map<String, RetryBudget> mByService = new HashMap<>();
+    /** Fraction of the fixed retry budget that all daemons together use. */
+    private static final double EXTRA_FRACTION = 0.7;
+
+    private final Map<String, RetryBudget> mByService = new RecentServices<>();
     private final double mRatio;
     private final DoubleSupplier mExtra;
     private final Duration mWindow;
 
-    RetryBudgets(double ratio, DoubleSupplier extra, Duration window) {
-        mRatio = ratio;
-        mExtra = extra;
-        mWindow = window;
+    RetryBudgets(GatewaySettings settings, IntSupplier daemons) {
+        mRatio = settings.retryBudgetRatio();
+        mExtra = () -> settings.retryBudgetExtra() * EXTRA_FRACTION / daemons.getAsInt();
+        mWindow = settings.retryBudgetWindow();
     }
 
     RetryBudget forService(String service) {
