--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -9,13 +9,14 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.amaranthpick.core.explain.DecisionLog;
 import org.amaranthpick.core.gateway.LeastLoadedTargetPolicy;
+import org.amaranthpick.core.gateway.admission.ChainRoom;
+import org.amaranthpick.core.gateway.admission.LoadAdmission;
 import org.amaranthpick.core.invariant.Invariants;
 import org.amaranthpick.core.layers.CachingEngineControl;
 import org.amaranthpick.core.layers.EngineControl;
@@ -46,9 +47,6 @@
 public final class Gateway implements AutoCloseable {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
-    /** Fraction of the fixed retry budget that all daemons together use. */
-    private static final double RETRY_EXTRA_FRACTION = 0.7;
-
     private static final String HEALTH_NOTES_PATH = "/health-notes";
     private static final String QUARANTINE_PATH = "/quarantine";
     private static final Duration CONTROL_PERIOD = Duration.ofMillis(250);
@@ -60,11 +58,6 @@
 
     private static final String LEASE_NAME = "layers";
 
-    /**
-     * Number of ranks of lease candidates; distinct ranks poll and take over at different times.
-     */
-    private static final int CANDIDATE_RANKS = 8;
-
     private final GatewaySettings mSettings;
     private final GatewayMetrics mMetrics = new GatewayMetrics();
     private final XnioWorker mWorker;
@@ -75,6 +68,7 @@
     private final StoreFollowing mStoreFollowing;
     private final DaemonCounter mDaemonCounter;
     private final LeaseManager mLease;
+    private final LeaseCandidacy mCandidacy;
     private final LayerPlacementController mLayerPlacement;
     private final HttpConnector mPeerConnector;
     private final UpstreamReach mReach;
@@ -85,7 +79,6 @@
     private final QuarantineRecords mQuarantineRecords;
     private final GatewayHandler mHandler;
     private final RandomGenerator mRandom;
-    private int mLeaseRank;
     private boolean mDraining;
     private boolean mClosed;
     private boolean mQuarantineRequested;
@@ -128,10 +121,10 @@
         mRegisterFollower =
                 new RegisterFollower(decoder, register, scheduler, this::onStoreRestored);
         mStoreFollowing = createStoreFollowing(store, pacing, decoder);
-        mLeaseRank = random.nextInt(CANDIDATE_RANKS);
         mLease =
                 new LeaseManager(
                         LEASE_NAME, leaseContext(store, tokens, decisions, random), this, () -> 0);
+        mCandidacy = new LeaseCandidacy(mLease, random);
         mPeerConnector = PeerMessageLink.createConnector(worker, scheduler);
         mHealthLink =
                 new PeerMessageLink<>(mPeerConnector, HEALTH_NOTES_PATH, new TypeReference<>() {});
@@ -258,6 +251,15 @@
             GatewayDialect dialect,
             EngineControl engines,
             PromptQuarantine quarantine) {
+        LeastLoadedTargetPolicy targetPolicy =
+                new LeastLoadedTargetPolicy(
+                        register,
+                        health,
+                        admission,
+                        mSettings.domain(),
+                        mDaemonCounter::count,
+                        mRoomObservation.room(),
+                        mRandom);
         return new GatewayContext(
                 mSettings.host(),
                 mScheduler,
@@ -267,30 +269,20 @@
                 register,
                 health,
                 admission,
-                new LeastLoadedTargetPolicy(
-                        register,
-                        health,
-                        admission,
-                        mSettings.domain(),
+                targetPolicy,
+                new LoadAdmission(
+                        new ChainRoom(targetPolicy, mRoomObservation.room()),
                         mDaemonCounter::count,
-                        mRoomObservation.room(),
-                        mRandom),
+                        mScheduler),
                 mRoomObservation.room(),
                 new CachingEngineControl(engines, mScheduler),
                 quarantine,
                 new CrashDetector(engines, quarantine, mScheduler),
-                new RetryBudgets(
-                        mSettings.retryBudgetRatio(),
-                        this::retryBudgetPart,
-                        mSettings.retryBudgetWindow()),
+                new RetryBudgets(mSettings, mDaemonCounter::count),
                 mMetrics,
                 mRandom);
     }
 
-    private double retryBudgetPart() {
-        return mSettings.retryBudgetExtra() * RETRY_EXTRA_FRACTION / mDaemonCounter.count();
-    }
-
     private LeaseContext leaseContext(
             ObjectStore store, WriterTokens tokens, DecisionLog decisions, RandomGenerator random) {
         return new LeaseContext(
@@ -395,19 +387,13 @@
         mQuarantineRecords.onStoreRestored();
     }
 
-    /**
-     * Handles a new number of daemons. In a large fleet only a few daemons are lease candidates;
-     * they are drawn again with each new number.
-     */
     private void onDaemonCount(int daemons) {
         mStoreFollowing.onDaemonCount(daemons);
         if (!mQuarantineRequested) {
             mQuarantineRequested = true;
             mQuarantineGossip.requestAll();
         }
-        if (mLease.held().isEmpty()) {
-            mLeaseRank = mRandom.nextInt(Math.max(CANDIDATE_RANKS, daemons));
-        }
+        mCandidacy.onDaemonCount(daemons);
     }
 
     private void runControlSteps() {
@@ -426,13 +412,7 @@
 
     private void stepLease() {
         boolean synced = mConfiguration.current().isPresent() && mRegisterFollower.isListed();
-        boolean candidate =
-                synced && mLeaseRank < CANDIDATE_RANKS && !mReach.isPartitionedForLong();
-        if (mReach.isPartitionedForLong() && mLease.held().isPresent()) {
-            // It cannot order layers; another daemon may reach the engines.
-            mLease.release();
-        }
-        mLease.step(candidate ? Optional.of(mLeaseRank) : Optional.empty());
+        mCandidacy.step(synced, mReach.isPartitionedForLong());
     }
 
     private void handleReadiness(HttpServerExchange exchange) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -15,10 +15,14 @@
 import java.util.Locale;
 import java.util.function.IntSupplier;
 import org.amaranthpick.core.gateway.RequestKind;
+import org.amaranthpick.core.gateway.admission.LoadDecision;
 import org.amaranthpick.core.reach.RelayReply;
 
 /** Counters and latency histograms of a gateway. */
 final class GatewayMetrics {
+    /** Bounds the number of time series. */
+    private static final int MAX_PRIORITY = 9;
+
     private static final double NS_PER_SECOND = 1e9;
     private static final double[] BUCKETS_SECONDS = {
         0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.35, 0.5, 0.75, 1, 2, 4, 8, 20
@@ -103,6 +107,16 @@
                     .name("amaranthpick_gateway_store_polls_replaced_total")
                     .help("Polls for changes that another daemon answered in place of the store")
                     .register(mRegistry);
+    private final Counter mAdmissionCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_admission_total")
+                    .help("Decisions on requests of models, by priority, reason and outcome")
+                    .labelNames("priority", "reason", "outcome")
+                    .register(mRegistry);
+    private final Histogram mAdmissionTime =
+            histogram("admission_seconds", "Time that requests waited for room, by outcome")
+                    .labelNames("outcome")
+                    .register(mRegistry);
 
     private static Histogram.Builder histogram(String name, String help) {
         return Histogram.builder()
@@ -174,6 +188,17 @@
         mLoadedEngines.set(count);
     }
 
+    void onAdmission(int priority, LoadDecision decision) {
+        String outcome = label(decision.outcome());
+        mAdmissionCount
+                .labelValues(
+                        Integer.toString(Math.max(0, Math.min(MAX_PRIORITY, priority))),
+                        label(decision.reason()),
+                        outcome)
+                .inc();
+        mAdmissionTime.labelValues(outcome).observe(seconds(decision.waited()));
+    }
+
     void onTaskFailed(String task) {
         mTaskFailureCount.labelValues(task).inc();
     }
