The configuration's limits are the only limits of a request

A body in chunks one byte over the limit got no answer at all, only a closed connection.

At its limit Undertow closes the connection of a body in chunks.

BodyReader reads a body against the configuration's limit itself and rejects with 413 whatever the framing; the library's limit only bounds what is discarded of a body that was refused. A body that breaks off gets 400 where a response can still be written; before, the exchange ended with the default status. A daemon that cannot take a relayed body says that nothing was sent.

Not done: maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of a configuration are still not enforced where they are below the listener's values.

--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/gateway/BodyReader.java
@@ -0,0 +1,101 @@
+package org.amaranthpick.server.gateway;
+
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.util.Arrays;
+
+/**
+ * Reads the whole body of a request within a limit. At the limit of the library a connection is
+ * closed without an answer, so that limit only bounds what is discarded of a body that was refused.
+ */
+final class BodyReader {
+    private static final int FIRST_CHUNKED_BYTES = 16 * 1024;
+    private static final int MIN_DISCARDED_BYTES = 1024 * 1024;
+
+    private final HttpServerExchange mExchange;
+    private final int mMaxBytes;
+    private final Listener mListener;
+    private Receiver mReceiver;
+    private byte[] mBuffer = new byte[0];
+    private int mCount;
+    private boolean mDone;
+
+    /** Receives the body or learns that there will be none; exactly one method is called. */
+    interface Listener {
+        /** Handles the whole body. */
+        void onBody(byte[] body);
+
+        /** Handles a body over the limit; the rest of it is not read. */
+        void onTooLarge();
+
+        /** Handles a body that did not come whole. */
+        void onLost(IOException e);
+    }
+
+    private BodyReader(HttpServerExchange exchange, int maxBytes, Listener listener) {
+        mExchange = exchange;
+        mMaxBytes = maxBytes;
+        mListener = listener;
+    }
+
+    /** Reads the body of an exchange. */
+    static void read(HttpServerExchange exchange, long maxBytes, Listener listener) {
+        // One array holds a body.
+        int maxArrayBytes = (int) Math.min(maxBytes, Integer.MAX_VALUE - 8L);
+        new BodyReader(exchange, maxArrayBytes, listener).start();
+    }
+
+    private void start() {
+        if (mExchange.getRequestContentLength() > mMaxBytes) {
+            mListener.onTooLarge();
+            return;
+        }
+        mExchange.setMaxEntitySize(2L * mMaxBytes + MIN_DISCARDED_BYTES);
+        mReceiver = mExchange.getRequestReceiver();
+        mReceiver.receivePartialBytes(
+                (read, bytes, last) -> onBytes(bytes, last), (failed, e) -> onFailed(e));
+    }
+
+    private void onBytes(byte[] bytes, boolean last) {
+        if (mDone) {
+            return;
+        }
+        if (bytes.length > mMaxBytes - mCount) {
+            stop();
+            mListener.onTooLarge();
+            return;
+        }
+        if (bytes.length > mBuffer.length - mCount) {
+            grow(mCount + bytes.length);
+        }
+        System.arraycopy(bytes, 0, mBuffer, mCount, bytes.length);
+        mCount += bytes.length;
+        if (last) {
+            mDone = true;
+            byte[] body = mCount == mBuffer.length ? mBuffer : Arrays.copyOf(mBuffer, mCount);
+            mBuffer = new byte[0];
+            mListener.onBody(body);
+        }
+    }
+
+    private void grow(int neededBytes) {
+        long length = mExchange.getRequestContentLength();
+        long bytes = length >= 0 ? length : Math.max(FIRST_CHUNKED_BYTES, 2L * mBuffer.length);
+        mBuffer = Arrays.copyOf(mBuffer, (int) Math.max(neededBytes, Math.min(bytes, mMaxBytes)));
+    }
+
+    private void onFailed(IOException e) {
+        if (!mDone) {
+            stop();
+            mListener.onLost(e);
+        }
+    }
+
+    private void stop() {
+        mDone = true;
+        mBuffer = new byte[0];
+        mExchange.setPersistent(false);
+        mReceiver.pause();
+    }
+}
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
@@ -6,6 +6,7 @@
 import io.undertow.server.ServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
@@ -120,15 +121,6 @@
                     exchange, metadata.requestId(), route.get().timeout(), Optional.empty());
             return;
         }
-        if (exchange.getRequestContentLength() > configuration.limits().maxBodyBytes()) {
-            reject(
-                    exchange,
-                    metadata,
-                    configuration,
-                    StatusCodes.REQUEST_ENTITY_TOO_LARGE,
-                    "the body is over the limit");
-            return;
-        }
         readBody(exchange, metadata, configuration, route.get(), found.get(), credential);
     }
 
@@ -139,33 +131,50 @@
             GatewayRoute route,
             GatewayService service,
             Optional<Credential> credential) {
-        exchange.setMaxEntitySize(configuration.limits().maxBodyBytes());
         long receivedNs = mContext.scheduler().monotonicNs();
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (read, body) ->
-                                forward(
-                                        exchange,
-                                        new ForwardedRequest(
-                                                metadata,
-                                                exchange.getRequestMethod().toString(),
-                                                requestTargetOf(exchange),
-                                                exchange.getRequestHeaders(),
-                                                body,
-                                                route,
-                                                service,
-                                                credential.map(Credential::workspace),
-                                                priorityOf(route, credential),
-                                                configuration.version(),
-                                                digestOf(exchange, metadata, body),
-                                                receivedNs)),
-                        (failed, e) -> {
-                            sLogger.atInfo().log(
-                                    "request: id=%s outcome=unread detail=\"%s\"",
-                                    metadata.requestId(), e.getMessage());
-                            exchange.setPersistent(false);
-                            exchange.endExchange();
-                        });
+        BodyReader.read(
+                exchange,
+                configuration.limits().maxBodyBytes(),
+                new BodyReader.Listener() {
+                    @Override
+                    public void onBody(byte[] body) {
+                        forward(
+                                exchange,
+                                new ForwardedRequest(
+                                        metadata,
+                                        exchange.getRequestMethod().toString(),
+                                        requestTargetOf(exchange),
+                                        exchange.getRequestHeaders(),
+                                        body,
+                                        route,
+                                        service,
+                                        credential.map(Credential::workspace),
+                                        priorityOf(route, credential),
+                                        configuration.version(),
+                                        digestOf(exchange, metadata, body),
+                                        receivedNs));
+                    }
+
+                    @Override
+                    public void onTooLarge() {
+                        reject(
+                                exchange,
+                                metadata,
+                                configuration,
+                                StatusCodes.REQUEST_ENTITY_TOO_LARGE,
+                                "the body is over the limit");
+                    }
+
+                    @Override
+                    public void onLost(IOException e) {
+                        sLogger.atInfo().log(
+                                "request: id=%s outcome=unread detail=\"%s\"",
+                                metadata.requestId(), e.getMessage());
+                        exchange.setPersistent(false);
+                        exchange.setStatusCode(StatusCodes.BAD_REQUEST);
+                        exchange.endExchange();
+                    }
+                });
     }
 
     private void forward(HttpServerExchange exchange, ForwardedRequest request) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/RelayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayHandler.java
@@ -93,34 +93,48 @@
         String path = exchange.getRequestHeaders().getFirst(UpstreamConnector.PATH_HEADER);
         HeldConnection held = mHeld.remove(path);
         if (held == null) {
-            exchange.getResponseHeaders()
-                    .put(UpstreamConnector.RESULT_HEADER, UpstreamConnector.RESULT_NOT_SENT);
-            end(exchange, StatusCodes.SERVICE_UNAVAILABLE);
+            endUnsent(exchange);
             return;
         }
         held.expiry().cancel();
         mInProgress++;
-        exchange.setMaxEntitySize(mContext.maxBodyBytes().getAsLong());
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (read, body) ->
-                                exchange.dispatch(
-                                        mContext.scheduler(),
-                                        () ->
-                                                new RelayedExchange(
-                                                                exchange,
-                                                                held.upstream(),
-                                                                mContext,
-                                                                this::onEnded)
-                                                        .start(
-                                                                mConnector,
-                                                                held.connection(),
-                                                                body)),
-                        (failed, e) -> {
-                            onEnded();
-                            held.connection().close();
-                            end(exchange, StatusCodes.BAD_REQUEST);
-                        });
+        BodyReader.read(
+                exchange,
+                mContext.maxBodyBytes().getAsLong(),
+                new BodyReader.Listener() {
+                    @Override
+                    public void onBody(byte[] body) {
+                        exchange.dispatch(mContext.scheduler(), () -> send(exchange, held, body));
+                    }
+
+                    @Override
+                    public void onTooLarge() {
+                        // The configuration of the other daemon may be newer than that here.
+                        dropUnsent(exchange, held);
+                    }
+
+                    @Override
+                    public void onLost(IOException e) {
+                        dropUnsent(exchange, held);
+                    }
+                });
+    }
+
+    private void send(HttpServerExchange exchange, HeldConnection held, byte[] body) {
+        new RelayedExchange(exchange, held.upstream(), mContext, this::onEnded)
+                .start(mConnector, held.connection(), body);
+    }
+
+    private void dropUnsent(HttpServerExchange exchange, HeldConnection held) {
+        onEnded();
+        held.connection().close();
+        endUnsent(exchange);
+    }
+
+    private static void endUnsent(HttpServerExchange exchange) {
+        exchange.getResponseHeaders()
+                .put(UpstreamConnector.RESULT_HEADER, UpstreamConnector.RESULT_NOT_SENT);
+        end(exchange, StatusCodes.SERVICE_UNAVAILABLE);
     }
 
     private void onEnded() {
