Bodies of requests hold a quarter of the heap at most

BodyMemory counts the bytes of the bodies that a daemon holds, relayed ones included: an announced length at once, a body in chunks as its buffer grows, until the exchange or its connection ends. Over a quarter of the heap a request is refused at once as not run, with a time to come back; a relaying daemon says that nothing was sent, so that the other one goes elsewhere. A body of known length is read into one array, where the library made two.

--- a/server/src/main/java/org/amaranthpick/server/gateway/BodyReader.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/BodyReader.java
@@ -4,10 +4,14 @@
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.util.Arrays;
+import org.amaranthpick.core.gateway.BodyMemory;
+import org.amaranthpick.core.time.Cancellable;
+import org.amaranthpick.server.http.ConnectionWatch;
 
 /**
- * Reads the whole body of a request within a limit. At the limit of the library a connection is
- * closed without an answer, so that limit only bounds what is discarded of a body that was refused.
+ * Reads the whole body of a request within a limit, if the daemon has memory for it. At the limit
+ * of the library a connection is closed without an answer, so that limit only bounds what is
+ * discarded of a body that was refused.
  */
 final class BodyReader {
     private static final int FIRST_CHUNKED_BYTES = 16 * 1024;
@@ -15,6 +19,7 @@
 
     private final HttpServerExchange mExchange;
     private final int mMaxBytes;
+    private final BodyMemory.Reservation mMemory;
     private final Listener mListener;
     private Receiver mReceiver;
     private byte[] mBuffer = new byte[0];
@@ -29,28 +34,47 @@
         /** Handles a body over the limit; the rest of it is not read. */
         void onTooLarge();
 
+        /** Handles a body for which there is no memory now; the rest of it is not read. */
+        void onNoMemory();
+
         /** Handles a body that did not come whole. */
         void onLost(IOException e);
     }
 
-    private BodyReader(HttpServerExchange exchange, int maxBytes, Listener listener) {
+    private BodyReader(
+            HttpServerExchange exchange,
+            int maxBytes,
+            BodyMemory.Reservation memory,
+            Listener listener) {
         mExchange = exchange;
         mMaxBytes = maxBytes;
+        mMemory = memory;
         mListener = listener;
     }
 
-    /** Reads the body of an exchange. */
-    static void read(HttpServerExchange exchange, long maxBytes, Listener listener) {
+    /** Reads the body of an exchange. Its memory is held until the exchange ends. */
+    static void read(
+            HttpServerExchange exchange, long maxBytes, BodyMemory memory, Listener listener) {
         // One array holds a body.
         int maxArrayBytes = (int) Math.min(maxBytes, Integer.MAX_VALUE - 8L);
-        new BodyReader(exchange, maxArrayBytes, listener).start();
+        new BodyReader(exchange, maxArrayBytes, memory.open(), listener).start();
     }
 
     private void start() {
-        if (mExchange.getRequestContentLength() > mMaxBytes) {
+        long length = mExchange.getRequestContentLength();
+        if (length > mMaxBytes) {
             mListener.onTooLarge();
             return;
         }
+        if (mExchange.isRequestComplete()) {
+            mListener.onBody(mBuffer);
+            return;
+        }
+        if (!mMemory.add(Math.max(0, length))) {
+            mListener.onNoMemory();
+            return;
+        }
+        releaseAtEnd();
         mExchange.setMaxEntitySize(2L * mMaxBytes + MIN_DISCARDED_BYTES);
         mReceiver = mExchange.getRequestReceiver();
         mReceiver.receivePartialBytes(
@@ -66,8 +90,10 @@
             mListener.onTooLarge();
             return;
         }
-        if (bytes.length > mBuffer.length - mCount) {
-            grow(mCount + bytes.length);
+        if (bytes.length > mBuffer.length - mCount && !grow(mCount + bytes.length)) {
+            stop();
+            mListener.onNoMemory();
+            return;
         }
         System.arraycopy(bytes, 0, mBuffer, mCount, bytes.length);
         mCount += bytes.length;
@@ -79,10 +105,31 @@
         }
     }
 
-    private void grow(int neededBytes) {
+    /** Makes room for a body, of which an announced length is reserved already. */
+    private boolean grow(int neededBytes) {
         long length = mExchange.getRequestContentLength();
-        long bytes = length >= 0 ? length : Math.max(FIRST_CHUNKED_BYTES, 2L * mBuffer.length);
-        mBuffer = Arrays.copyOf(mBuffer, (int) Math.max(neededBytes, Math.min(bytes, mMaxBytes)));
+        if (length >= 0) {
+            mBuffer = new byte[(int) length];
+            return true;
+        }
+        long doubledBytes = Math.max(FIRST_CHUNKED_BYTES, 2L * mBuffer.length);
+        int newBytes = (int) Math.max(neededBytes, Math.min(doubledBytes, mMaxBytes));
+        if (!mMemory.add(newBytes - mBuffer.length)) {
+            return false;
+        }
+        mBuffer = Arrays.copyOf(mBuffer, newBytes);
+        return true;
+    }
+
+    /** An exchange whose connection closes need not come to its own end. */
+    private void releaseAtEnd() {
+        Cancellable watch = ConnectionWatch.start(mExchange.getConnection(), mMemory::release);
+        mExchange.addExchangeCompleteListener(
+                (ended, next) -> {
+                    watch.cancel();
+                    mMemory.release();
+                    next.proceed();
+                });
     }
 
     private void onFailed(IOException e) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.amaranthpick.core.explain.DecisionLog;
+import org.amaranthpick.core.gateway.BodyMemory;
 import org.amaranthpick.core.gateway.LeastLoadedTargetPolicy;
 import org.amaranthpick.core.invariant.Invariants;
 import org.amaranthpick.core.layers.CachingEngineControl;
@@ -68,6 +69,7 @@
 
     private final GatewaySettings mSettings;
     private final GatewayMetrics mMetrics = new GatewayMetrics();
+    private final BodyMemory mBodyMemory = BodyMemory.ofHeap(Runtime.getRuntime().maxMemory());
     private final XnioWorker mWorker;
     private final GatewayListeners mListeners;
     private final IoThreadScheduler mScheduler;
@@ -170,7 +172,10 @@
                 createContext(register, health, admission, dialect, engineControl, quarantine);
         mHandler =
                 new GatewayHandler(
-                        context, mConfiguration::current, new GatewayResponses(dialect, random));
+                        context,
+                        mConfiguration::current,
+                        new GatewayResponses(dialect, random),
+                        mBodyMemory);
         quarantine.setOnQuarantine(mHandler::onQuarantine);
         mReach.paths()
                 .setOnPartitioned(
@@ -194,6 +199,7 @@
                 admission,
                 mDaemonCounter,
                 mConfiguration::current,
+                mBodyMemory,
                 mMetrics,
                 mRandom);
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.amaranthpick.core.gateway.BodyMemory;
 import org.amaranthpick.core.gateway.Credential;
 import org.amaranthpick.core.gateway.GatewayConfiguration;
 import org.amaranthpick.core.gateway.GatewayRoute;
@@ -28,6 +29,7 @@
     private final GatewayContext mContext;
     private final Supplier<Optional<GatewayConfiguration>> mConfiguration;
     private final GatewayResponses mResponses;
+    private final BodyMemory mBodyMemory;
     private final Set<ServerConnection> mIdleConnections = new HashSet<>();
     private final Set<ForwardedExchange> mInProgress = new HashSet<>();
     private boolean mDraining;
@@ -36,10 +38,12 @@
     GatewayHandler(
             GatewayContext context,
             Supplier<Optional<GatewayConfiguration>> configuration,
-            GatewayResponses responses) {
+            GatewayResponses responses,
+            BodyMemory bodyMemory) {
         mContext = context;
         mConfiguration = configuration;
         mResponses = responses;
+        mBodyMemory = bodyMemory;
     }
 
     /** Starts draining: closes each connection after its next response. */
@@ -135,6 +139,7 @@
         BodyReader.read(
                 exchange,
                 configuration.limits().maxBodyBytes(),
+                mBodyMemory,
                 new BodyReader.Listener() {
                     @Override
                     public void onBody(byte[] body) {
@@ -165,6 +170,19 @@
                                 "the body is over the limit");
                     }
 
+                    @Override
+                    public void onNoMemory() {
+                        sLogger.atInfo().log(
+                                "request: id=%s outcome=refused detail=\"no memory for its body,"
+                                        + " others hold %d bytes\"",
+                                metadata.requestId(), mBodyMemory.heldBytes());
+                        mResponses.sendNotRun(
+                                exchange,
+                                metadata.requestId(),
+                                metadata.deadline().orElse(route.timeout()),
+                                Optional.empty());
+                    }
+
                     @Override
                     public void onLost(IOException e) {
                         sLogger.atInfo().log(
--- a/server/src/main/java/org/amaranthpick/server/gateway/RelayContext.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayContext.java
@@ -3,6 +3,7 @@
 import java.net.InetAddress;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.amaranthpick.core.gateway.BodyMemory;
 import org.amaranthpick.core.reach.UpstreamPaths;
 import org.amaranthpick.core.register.UpstreamAdmission;
 import org.amaranthpick.core.register.UpstreamRegister;
@@ -18,6 +19,7 @@
  * @param paths direct paths of this daemon
  * @param isDaemon whether an address is that of a daemon of this fleet
  * @param maxBodyBytes largest body of a request
+ * @param bodyMemory memory for the bodies of requests
  * @param metrics counts relayed requests
  */
 record RelayContext(
@@ -28,4 +30,5 @@
         UpstreamPaths paths,
         Predicate<InetAddress> isDaemon,
         LongSupplier maxBodyBytes,
+        BodyMemory bodyMemory,
         GatewayMetrics metrics) {}
--- a/server/src/main/java/org/amaranthpick/server/gateway/RelayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayHandler.java
@@ -101,6 +101,7 @@
         BodyReader.read(
                 exchange,
                 mContext.maxBodyBytes().getAsLong(),
+                mContext.bodyMemory(),
                 new BodyReader.Listener() {
                     @Override
                     public void onBody(byte[] body) {
@@ -113,6 +114,11 @@
                         dropUnsent(exchange, held);
                     }
 
+                    @Override
+                    public void onNoMemory() {
+                        dropUnsent(exchange, held);
+                    }
+
                     @Override
                     public void onLost(IOException e) {
                         dropUnsent(exchange, held);
--- a/server/src/main/java/org/amaranthpick/server/gateway/UpstreamReach.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/UpstreamReach.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.amaranthpick.core.gateway.BodyMemory;
 import org.amaranthpick.core.gateway.GatewayConfiguration;
 import org.amaranthpick.core.layers.EngineControl;
 import org.amaranthpick.core.layers.PausingEngineControl;
@@ -64,6 +65,7 @@
      * @param admission whether upstreams may get requests, by what they say themselves
      * @param daemons other daemons
      * @param configuration latest configuration, empty before the first
+     * @param bodyMemory memory for the bodies of requests
      * @param metrics counts paths
      * @param random source of the choice of daemons and probes
      */
@@ -76,6 +78,7 @@
             UpstreamAdmission admission,
             DaemonCounter daemons,
             Supplier<Optional<GatewayConfiguration>> configuration,
+            BodyMemory bodyMemory,
             GatewayMetrics metrics,
             RandomGenerator random) {
         mScheduler = scheduler;
@@ -108,6 +111,7 @@
                                 mPaths,
                                 this::isDaemon,
                                 this::maxBodyBytes,
+                                bodyMemory,
                                 metrics),
                         mDirect);
     }
