--- a/core/src/main/java/org/amaranthpick/core/room/ObservationDuties.java
+++ b/core/src/main/java/org/amaranthpick/core/room/ObservationDuties.java
@@ -25,7 +25,7 @@
     private static final int SUCCESSORS = 2;
 
     /** Time for which the daemon before in rank may be silent. */
-    static final Duration TAKEOVER_TIME = Duration.ofSeconds(2);
+    static final Duration TAKEOVER_TIME = Duration.ofSeconds(3);
 
     private final String mSelf;
     private final String mDomain;
--- a/core/src/main/java/org/amaranthpick/core/room/RoomObserver.java
+++ b/core/src/main/java/org/amaranthpick/core/room/RoomObserver.java
@@ -22,9 +22,10 @@
  * Observes the load of engines for the fleet, and spreads what is worth telling. Designed for
  * bursts and waves of callers in fleets where each daemon sees a small part of the requests. Each
  * engine is queried by one daemon; a load below {@link #TOLD_FILL} is not told, so that calm days
- * cost a query a second for each engine and no messages but those between a few daemons. News goes
- * over about the square root of the daemons to all others, so that no small host sends to hundreds.
- * Nothing is repeated: what is lost is replaced by the next observation. Confined to one thread.
+ * cost a query every two seconds for each engine and no messages but those between a few daemons.
+ * News goes over about the square root of the daemons to all others, so that no small host sends to
+ * hundreds. Nothing is repeated: what is lost is replaced by the next observation. Confined to one
+ * thread.
  */
 public final class RoomObserver {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
@@ -35,7 +36,7 @@
     /** Fill from which a load is told to all daemons. */
     static final double TOLD_FILL = 0.5;
 
-    private static final Duration CALM_PERIOD = Duration.ofSeconds(1);
+    private static final Duration CALM_PERIOD = Duration.ofSeconds(2);
     private static final Duration LOADED_PERIOD = Duration.ofMillis(500);
 
     private static final double PERCENT = 100;
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -135,7 +135,8 @@
         connectHealthGossip(register, health, rateLimits, admission.leaving());
         mReach = createReach(dialect, register, health, admission);
         EngineControl engineControl = mReach.obeyPauses(engines.apply(mReach.connector()));
-        mRoomObservation = createRoomObservation(register, engineControl);
+        mRoomObservation =
+                createRoomObservation(register, sender -> mReach.obeyPauses(engines.apply(sender)));
         mLayerPlacement = createLayerPlacement(register, health, engineControl);
         PromptQuarantine quarantine = new PromptQuarantine();
         mQuarantineLink =
@@ -181,16 +182,17 @@
     }
 
     private RoomObservation createRoomObservation(
-            UpstreamRegister register, EngineControl engines) {
+            UpstreamRegister register, Function<UpstreamSender, EngineControl> control) {
         return new RoomObservation(
                 mSettings,
+                mWorker,
+                mScheduler,
                 mPeerConnector,
                 mDaemonCounter,
-                () -> RoomObservation.modelEngines(mConfiguration.current(), register),
-                engines,
                 mMetrics,
-                mScheduler,
-                mRandom);
+                mRandom,
+                () -> RoomObservation.modelEngines(mConfiguration.current(), register),
+                control);
     }
 
     private LayerPlacementController createLayerPlacement(
@@ -435,6 +437,7 @@
         mStoreFollowing.close();
         mListeners.close();
         mPeerConnector.close();
+        mRoomObservation.close();
         mReach.close();
     }
 }
