A list after a lost watch is no complete history for followers that were further

What callers saw: nothing yet; found in review. A daemon could keep an engine in its register that had gone, for good: no later change names it.

Cause: a followed daemon that lost its watch at revision 10 and listed at 20 answers from the difference between the two lists. An object created at 12 and deleted at 14 is in neither. A follower that came from another daemon, or from a list of its own, with revision 13 has the object, asks for the changes after 13, and was told that there are none and that this is all.

Why this works: a list is kept as a batch of its own, also if it shows no difference, and a request from a revision strictly inside it is answered as incomplete, so that the follower lists. Followers that were at the revision before the list, as those of this daemon are, still get the difference. Each batch now counts 64 bytes of its own, so that empty ones are bounded too.

What it costs: after a silence of all connections, followers that listed earlier than the daemon that they follow list a second time if the store's revision moved in between. Not measured.

--- a/core/src/main/java/org/amaranthpick/core/follow/ChangeHistory.java
+++ b/core/src/main/java/org/amaranthpick/core/follow/ChangeHistory.java
@@ -15,10 +15,12 @@
 /**
  * Recent changes under a prefix, so that daemons which follow this one get each change once and
  * needn't list the objects after a short loss of contact. Bounded by bytes. A list after a lost
- * watch counts as the changes that lead to it. Confined to one thread.
+ * watch counts as the changes that lead to it, but only from the revision before: what was written
+ * and deleted again in between is in neither. Confined to one thread.
  */
 final class ChangeHistory {
     private static final int MAX_BYTES = 512 * 1024;
+    private static final int BATCH_BYTES = 64;
 
     private final Deque<Batch> mBatches = new ArrayDeque<>();
     private final Map<String, Long> mVersions = new HashMap<>();
@@ -32,12 +34,19 @@
     /**
      * Changes between the revision of the batch before and that of this one.
      *
+     * @param after revision on top of which they apply
      * @param revision revision that they lead to
+     * @param listed whether they are the difference to a list, and not all changes
      * @param changes changes in their order
      */
-    private record Batch(long revision, List<FollowedChange> changes) {
+    private record Batch(long after, long revision, boolean listed, List<FollowedChange> changes) {
         int bytes() {
-            return changes.stream().mapToInt(FollowedChange::bytes).sum();
+            return BATCH_BYTES + changes.stream().mapToInt(FollowedChange::bytes).sum();
+        }
+
+        /** Returns whether changes after a revision may be missing here. */
+        boolean lacksChangesAfter(long other) {
+            return listed && after < other && other < revision;
         }
     }
 
@@ -62,7 +71,7 @@
             }
         }
         gone.forEach(key -> add(FollowedChange.deleted(key, revision)));
-        onProgress(revision);
+        endBatch(revision, true);
     }
 
     /** Adds a change; followers get it with the next progress. */
@@ -77,11 +86,16 @@
 
     /** Ends a batch of changes at a revision. */
     void onProgress(long revision) {
+        endBatch(revision, false);
+    }
+
+    private void endBatch(long revision, boolean listed) {
+        long after = mRevision;
         mRevision = Math.max(mRevision, revision);
-        if (mOpenBatch.isEmpty()) {
+        if (mOpenBatch.isEmpty() && !listed) {
             return;
         }
-        Batch batch = new Batch(mRevision, List.copyOf(mOpenBatch));
+        Batch batch = new Batch(after, mRevision, listed, List.copyOf(mOpenBatch));
         mOpenBatch = new ArrayList<>();
         forgetAnswer();
         mBatches.addLast(batch);
@@ -99,13 +113,16 @@
     }
 
     /**
-     * Returns the changes after a revision, or nothing if some of them are gone. Daemons that ask
-     * for the same changes get the same list, so that it can be encoded once.
+     * Returns the changes after a revision, or nothing if some of them may be missing. Daemons that
+     * ask for the same changes get the same list, so that it can be encoded once.
      */
     Optional<List<FollowedChange>> after(long revision) {
         if (StoreRevision.era(revision) != StoreRevision.era(mRevision) || revision < mStart) {
             return Optional.empty();
         }
+        if (mBatches.stream().anyMatch(batch -> batch.lacksChangesAfter(revision))) {
+            return Optional.empty();
+        }
         if (revision != mLastAnswerAfter) {
             mLastAnswerAfter = revision;
             mLastAnswer =
