--- a/core/src/main/java/org/amaranthpick/core/follow/FollowedWatch.java
+++ b/core/src/main/java/org/amaranthpick/core/follow/FollowedWatch.java
@@ -137,7 +137,9 @@
         }
         apply(answer);
         // The answer was made when the request had been held, at the earliest.
-        long proofNs = sentNs + Duration.ofMillis(answer.heldMs() - answer.ageMs()).toNanos();
+        long maxHeldMs = Duration.ofNanos(now() - sentNs).toMillis();
+        long heldMs = Math.max(0, Math.min(answer.heldMs(), maxHeldMs));
+        long proofNs = sentNs + Duration.ofMillis(heldMs - Math.max(0, answer.ageMs())).toNanos();
         if (proofNs - mProofNs > 0) {
             mProofNs = proofNs;
             awaitStale();
--- a/core/src/main/java/org/amaranthpick/core/room/ObservationDuties.java
+++ b/core/src/main/java/org/amaranthpick/core/room/ObservationDuties.java
@@ -47,9 +47,9 @@
         mDaemons = daemons;
     }
 
-    /** Records that another daemon observes a group. */
+    /** Records that another daemon observes a group, if this one may have to. */
     void onHeard(String duty, long nowNs) {
-        mHeardNs.put(duty, nowNs);
+        mHeardNs.computeIfPresent(duty, (known, heardNs) -> nowNs);
     }
 
     /** Returns the groups of the engines of this domain, by name. */
@@ -70,6 +70,8 @@
                             + Math.floorMod(entry.id().hashCode(), count);
             groups.computeIfAbsent(duty, key -> new ArrayList<>()).add(entry);
         }
+        mHeardNs.keySet().retainAll(groups.keySet());
+        mRankings.keySet().retainAll(groups.keySet());
         return groups;
     }
 
--- a/core/src/main/java/org/amaranthpick/core/room/ReportedRoom.java
+++ b/core/src/main/java/org/amaranthpick/core/room/ReportedRoom.java
@@ -33,14 +33,21 @@
      * Records a load, unless a later one is known.
      *
      * @param load the load
-     * @param nowNs monotonic time
      */
-    public void onLoad(EngineLoad load, long nowNs) {
+    public void onLoad(EngineLoad load) {
         EngineLoad known = mLoads.get(load.engineId());
         if (known == null || known.observedNs() < load.observedNs()) {
             mLoads.put(load.engineId(), load);
         }
-        mLoads.values().removeIf(other -> !isRecent(other, nowNs));
+    }
+
+    /**
+     * Forgets the loads that are too old. Called several times a second.
+     *
+     * @param nowNs monotonic time
+     */
+    public void forgetOld(long nowNs) {
+        mLoads.values().removeIf(load -> !isRecent(load, nowNs));
     }
 
     /**
--- a/core/src/main/java/org/amaranthpick/core/room/RoomObserver.java
+++ b/core/src/main/java/org/amaranthpick/core/room/RoomObserver.java
@@ -17,6 +17,7 @@
 import org.amaranthpick.core.register.PeerDaemon;
 import org.amaranthpick.core.register.UpstreamEntry;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.core.time.TaskGuard;
 
 /**
  * Observes the load of engines for the fleet, and spreads what is worth telling. Designed for
@@ -37,8 +38,13 @@
     static final double TOLD_FILL = 0.5;
 
     private static final Duration CALM_PERIOD = Duration.ofSeconds(2);
+
+    /** Time after which queries that have not ended don't delay the next ones. */
+    private static final Duration ROUND_TIMEOUT = CALM_PERIOD.multipliedBy(2);
+
     private static final Duration LOADED_PERIOD = Duration.ofMillis(500);
 
+    private static final String TASK = "engine loads";
     private static final double PERCENT = 100;
     private static final int MAX_FILL_PERCENT = 1000;
     private static final int MAX_LOADS = 1024;
@@ -53,20 +59,32 @@
     private final Scheduler mScheduler;
     private final Executor mExecutor;
     private final RandomGenerator mRandom;
+    private final TaskGuard mGuard;
     private final Map<String, Group> mGroups = new HashMap<>();
 
     /** What this daemon knows of a group that it observes. */
     private static final class Group {
         private final Map<String, EngineLoad> mLoads = new HashMap<>();
         private final Set<String> mTold = new HashSet<>();
-        private long mQueriedNs = Long.MIN_VALUE / 2;
-        private int mPending;
+        private Round mRound = new Round(Long.MIN_VALUE / 2, 0);
 
         private boolean isLoaded() {
             return mLoads.values().stream().anyMatch(load -> load.fill() >= TOLD_FILL);
         }
     }
 
+    /** Queries to all engines of a group at the same time. */
+    private static final class Round {
+        private final long mStartedNs;
+        private int mPending;
+        private boolean mReported;
+
+        Round(long startedNs, int pending) {
+            mStartedNs = startedNs;
+            mPending = pending;
+        }
+    }
+
     /**
      * Creates an observer.
      *
@@ -95,6 +113,7 @@
         mSender = sender;
         mScheduler = scheduler;
         mExecutor = executor;
+        mGuard = new TaskGuard(scheduler);
     }
 
     /**
@@ -119,6 +138,7 @@
         long nowNs = mScheduler.monotonicNs();
         Map<String, List<UpstreamEntry>> groups = mDuties.groups(mEngines.get());
         mGroups.keySet().retainAll(groups.keySet());
+        mRoom.forgetOld(nowNs);
         groups.forEach(
                 (duty, engines) -> {
                     if (mDuties.hasDuty(duty, nowNs)) {
@@ -139,32 +159,40 @@
                             return new Group();
                         });
         Duration period = group.isLoaded() ? LOADED_PERIOD : CALM_PERIOD;
-        if (group.mPending > 0 || nowNs - group.mQueriedNs < period.toNanos()) {
+        long sinceNs = nowNs - group.mRound.mStartedNs;
+        boolean underWay = group.mRound.mPending > 0 && sinceNs < ROUND_TIMEOUT.toNanos();
+        if (underWay || sinceNs < period.toNanos()) {
             return;
         }
-        group.mQueriedNs = nowNs;
-        group.mPending = engines.size();
+        Round round = new Round(nowNs, engines.size());
+        group.mRound = round;
         group.mLoads.keySet().retainAll(engines.stream().map(UpstreamEntry::id).toList());
         for (UpstreamEntry engine : engines) {
-            mControl.fetchReport(engine)
-                    .thenAccept(
-                            report ->
-                                    mExecutor.execute(() -> onReport(duty, group, engine, report)));
+            mGuard.call(
+                    TASK,
+                    mExecutor,
+                    () -> mControl.fetchReport(engine),
+                    report -> onReport(group, engine, report),
+                    () -> onQueryEnd(duty, group, round));
         }
     }
 
-    private void onReport(String duty, Group group, UpstreamEntry engine, EngineReport report) {
+    private void onReport(Group group, UpstreamEntry engine, EngineReport report) {
         long nowNs = mScheduler.monotonicNs();
         if (report instanceof EngineReport.Present present) {
             EngineLoad load = new EngineLoad(engine.id(), fill(engine, present), nowNs);
             group.mLoads.put(engine.id(), load);
-            mRoom.onLoad(load, nowNs);
+            group.mRound.mReported = true;
+            mRoom.onLoad(load);
         } else {
             group.mLoads.remove(engine.id());
         }
-        group.mPending--;
-        if (group.mPending == 0) {
-            tell(duty, group, nowNs);
+    }
+
+    private void onQueryEnd(String duty, Group group, Round round) {
+        round.mPending--;
+        if (round.mPending == 0 && round == group.mRound) {
+            tell(duty, group, mScheduler.monotonicNs());
         }
     }
 
@@ -194,6 +222,10 @@
         if (wasLoaded == group.mTold.isEmpty()) {
             sLogger.atInfo().log("loads: group=%s loaded=%s", duty, group.mTold);
         }
+        if (loads.isEmpty() && !group.mRound.mReported) {
+            // A daemon that reaches no engine of the group leaves it to the next in rank.
+            return;
+        }
         if (loads.isEmpty()) {
             mDuties.successors(duty)
                     .forEach(peer -> mSender.accept(peer, new RoomNews(duty, loads, List.of())));
@@ -236,9 +268,11 @@
                                 mRoom.onLoad(
                                         new EngineLoad(
                                                 load.engineId(),
-                                                load.fillPercent() / PERCENT,
-                                                nowNs - Duration.ofMillis(load.ageMs()).toNanos()),
-                                        nowNs));
+                                                Math.min(MAX_FILL_PERCENT, load.fillPercent())
+                                                        / PERCENT,
+                                                nowNs
+                                                        - Duration.ofMillis(load.ageMs())
+                                                                .toNanos())));
         Set<String> known = new HashSet<>();
         mDaemons.get().forEach(daemon -> known.add(daemon.address()));
         RoomNews passedOn = new RoomNews(news.duty(), news.loads(), List.of());
--- a/core/src/test/java/org/amaranthpick/core/room/ReportedRoomTest.java
+++ b/core/src/test/java/org/amaranthpick/core/room/ReportedRoomTest.java
@@ -39,14 +39,14 @@
 
     @Test
     void aChainIsAsFullAsItsFullestEngine() {
-        mRoom.onLoad(new EngineLoad("a", 0.3, START_NS), START_NS);
-        mRoom.onLoad(new EngineLoad("b", 0.8, START_NS), START_NS);
+        mRoom.onLoad(new EngineLoad("a", 0.3, START_NS));
+        mRoom.onLoad(new EngineLoad("b", 0.8, START_NS));
         assertEquals(OptionalDouble.of(0.8), mRoom.fill(mChain, START_NS));
     }
 
     @Test
     void aReportThatIsTooOldSaysNothing() {
-        mRoom.onLoad(new EngineLoad("a", 0.9, START_NS), START_NS);
+        mRoom.onLoad(new EngineLoad("a", 0.9, START_NS));
         long lateNs = START_NS + ReportedRoom.MAX_AGE.toNanos() + MS;
         assertTrue(mRoom.fill(mChain, lateNs).isEmpty());
     }
@@ -54,8 +54,8 @@
     /** News takes several paths, so that an earlier report may arrive after a later one. */
     @Test
     void anEarlierReportDoesNotReplaceALaterOne() {
-        mRoom.onLoad(new EngineLoad("a", 0.9, START_NS), START_NS);
-        mRoom.onLoad(new EngineLoad("a", 0.1, START_NS - MS), START_NS);
+        mRoom.onLoad(new EngineLoad("a", 0.9, START_NS));
+        mRoom.onLoad(new EngineLoad("a", 0.1, START_NS - MS));
         assertEquals(OptionalDouble.of(0.9), mRoom.fill(mChain, START_NS));
     }
 
@@ -65,7 +65,7 @@
         mRoom.onSent(mChain, 100, START_NS - 300 * MS);
         mRoom.onSent(mChain, 100, START_NS - 100 * MS);
         mRoom.onSent(mChain, 100, START_NS + MS);
-        mRoom.onLoad(new EngineLoad("a", 0.5, START_NS), START_NS);
+        mRoom.onLoad(new EngineLoad("a", 0.5, START_NS));
         assertEquals(0.5 + 2 * 0.1, mRoom.fill(mChain, START_NS + MS).orElseThrow(), 1e-9);
     }
 }
--- a/server/src/main/java/org/amaranthpick/server/gateway/ChangeLink.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ChangeLink.java
@@ -133,6 +133,9 @@
         FollowRequest request;
         try {
             request = MAPPER.readValue(body, FollowRequest.class);
+            if (request == null) {
+                throw new IOException("the request is null");
+            }
         } catch (IOException e) {
             sLogger.atInfo().log("following: cannot read a request: %s", e.getMessage());
             exchange.setStatusCode(StatusCodes.BAD_REQUEST);
