A pause cuts no request that a leaving host relays over the last path

Callers saw streams end without their final chunk when the only other host of one that is cut off from the upstreams was shutting down and events paused for longer than 80 ms. The query about the pause needs a path of its own, which a leaving host refuses; "no path" counted as a stall, the sound stream was cancelled, and the next attempt found no path either.

A daemon that says that it is leaving or full finishes what is open. While it is the last one, an attempt through it is kept and looked at again later. One that doesn't answer, or is cut off itself, is still given up as before.

Not run: the other tests of server and platform.

--- a/core/src/main/java/org/amaranthpick/core/reach/RelayDirectory.java
+++ b/core/src/main/java/org/amaranthpick/core/reach/RelayDirectory.java
@@ -14,7 +14,8 @@
  * Chooses the daemons through which requests reach upstreams whose direct paths are broken. Of two
  * daemons that have relayed lately the one with fewer requests of this daemon is taken. Now and
  * then another one is tried, so that the load spreads over all that can relay. Daemons that refused
- * or did not answer are left out for a time. Confined to one thread.
+ * or did not answer are left out for a time. One that is full or leaving refuses further paths and
+ * finishes those that are open. Confined to one thread.
  */
 public final class RelayDirectory {
     /** Time for which a daemon that opened a path counts as proven. */
@@ -36,6 +37,7 @@
         private int mInProgress;
         private long mProvenUntilNs = Long.MIN_VALUE;
         private long mExcludedUntilNs = Long.MIN_VALUE;
+        private boolean mFinishes;
     }
 
     /**
@@ -88,6 +90,17 @@
         return mPeers.get().stream().anyMatch(peer -> !isExcluded(peer, nowNs));
     }
 
+    /**
+     * Checks whether a daemon that is asked for no further paths finishes those that are open.
+     *
+     * @param peer address of the daemon
+     * @param nowNs monotonic time
+     * @return true if it said lately that it is full or leaving
+     */
+    public boolean finishesOpenPaths(String peer, long nowNs) {
+        return isExcluded(peer, nowNs) && mStates.get(peer).mFinishes;
+    }
+
     /**
      * Checks whether there are other daemons at all.
      *
@@ -128,9 +141,9 @@
      */
     public void onRefused(String peer, RelayReply.Status status, long nowNs) {
         switch (status) {
-            case FULL -> exclude(peer, FULL_EXCLUSION, nowNs);
-            case PARTITIONED -> exclude(peer, PARTITIONED_EXCLUSION, nowNs);
-            case LEAVING -> exclude(peer, LEAVING_EXCLUSION, nowNs);
+            case FULL -> exclude(peer, FULL_EXCLUSION, true, nowNs);
+            case PARTITIONED -> exclude(peer, PARTITIONED_EXCLUSION, false, nowNs);
+            case LEAVING -> exclude(peer, LEAVING_EXCLUSION, true, nowNs);
             default -> {
                 // What it says of the upstream says nothing of the daemon.
             }
@@ -144,11 +157,12 @@
      * @param nowNs monotonic time
      */
     public void onUnreachable(String peer, long nowNs) {
-        exclude(peer, UNREACHABLE_EXCLUSION, nowNs);
+        exclude(peer, UNREACHABLE_EXCLUSION, false, nowNs);
     }
 
-    private void exclude(String peer, Duration duration, long nowNs) {
+    private void exclude(String peer, Duration duration, boolean finishes, long nowNs) {
         PeerState state = state(peer);
+        state.mFinishes = finishes;
         state.mExcludedUntilNs = nowNs + duration.toNanos();
         state.mProvenUntilNs = Long.MIN_VALUE;
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -331,7 +331,7 @@
 
     /**
      * Fails over to another target. The stalled attempt is cancelled only if there is another
-     * target and the retry budget allows it.
+     * target with a path to it and the retry budget allows it.
      */
     private void failOver(ForwardAttempt attempt, String reason) {
         Set<String> excluded = new HashSet<>(mExcludedUpstreams);
@@ -340,7 +340,7 @@
         }
         Optional<Target> next =
                 mContext.targetPolicy().choose(mRequest.service(), excluded, nowNs());
-        if (next.isEmpty()) {
+        if (next.isEmpty() || mContext.upstreams().isLastPath(attempt.relay())) {
             mStallDetector.backOff();
             return;
         }
--- a/server/src/main/java/org/amaranthpick/server/gateway/UpstreamConnector.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/UpstreamConnector.java
@@ -124,6 +124,15 @@
         return mPaths.isPartitioned() && !mRelays.hasUsable(nowNs());
     }
 
+    /**
+     * Returns whether a request is relayed over the last path there is: the daemon finishes it, and
+     * no path opens for another attempt.
+     */
+    boolean isLastPath(Optional<String> relay) {
+        return isIsolated()
+                && relay.filter(peer -> mRelays.finishesOpenPaths(peer, nowNs())).isPresent();
+    }
+
     PathSearch search(UpstreamEntry upstream, boolean confirm) {
         return new PathSearch(upstream.id(), confirm, mPaths, mRelays, nowNs());
     }
