--- a/core/src/main/java/org/amaranthpick/core/layers/ChainLoadBalancer.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/ChainLoadBalancer.java
@@ -30,7 +30,10 @@
     /** Exponent of the token latency in the cost; below 1 so that memory outweighs latency. */
     private static final double LATENCY_EXPONENT = 0.3;
 
-    /** Least part of a chain's memory that counts as left, so that full chains can be compared. */
+    /** Fill up to which a chain counts as empty, as requests end before it is full. */
+    private static final double FREE_FILL = 0.7;
+
+    /** Least part of the room above that counts as left, so that full chains can be compared. */
     private static final double MIN_ROOM = 0.05;
 
     private final TokenLatencyEstimator mLatency;
@@ -102,7 +105,8 @@
         }
         double requestsPerToken =
                 requestsPerToken(chain) + ownRequests / Math.max(1, chain.kvCapacityTokens());
-        double room = Math.max(MIN_ROOM, 1 - mRoom.fill(chain, nowNs).orElse(0));
+        double left = (1 - mRoom.fill(chain, nowNs).orElse(0)) / (1 - FREE_FILL);
+        double room = Math.max(MIN_ROOM, Math.min(1, left));
         return requestsPerToken
                 / room
                 * Math.pow(mLatency.expectedMs(chain, nowNs), LATENCY_EXPONENT);
