--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -170,12 +170,7 @@
         mQuarantineGossip.setRecords(mQuarantineRecords);
         GatewayContext context =
                 createContext(register, health, admission, dialect, engineControl, quarantine);
-        mHandler =
-                new GatewayHandler(
-                        context,
-                        mConfiguration::current,
-                        new GatewayResponses(dialect, random),
-                        mBodyMemory);
+        mHandler = createHandler(context);
         quarantine.setOnQuarantine(mHandler::onQuarantine);
         mReach.paths()
                 .setOnPartitioned(
@@ -185,6 +180,14 @@
                         });
     }
 
+    private GatewayHandler createHandler(GatewayContext context) {
+        return new GatewayHandler(
+                context,
+                mConfiguration::current,
+                new GatewayResponses(context.dialect(), mRandom),
+                mBodyMemory);
+    }
+
     private UpstreamReach createReach(
             GatewayDialect dialect,
             UpstreamRegister register,
