--- a/core/src/main/java/org/amaranthpick/core/gateway/BodyMemory.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/BodyMemory.java
@@ -66,7 +66,7 @@
             return true;
         }
 
-        /** Gives the bytes back, the first time that it is called. */
+        /** Releases the bytes; further calls do nothing. */
         public void release() {
             if (!mReleased) {
                 mReleased = true;
--- a/core/src/main/java/org/amaranthpick/core/gateway/admission/RoomSource.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/admission/RoomSource.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 import org.amaranthpick.core.gateway.GatewayService;
 
-/** Tells how much room the model of a service has left. */
+/** Source of the room that the model of a service has left. */
 @FunctionalInterface
 public interface RoomSource {
     /**
--- a/core/src/main/java/org/amaranthpick/core/room/RoomObserver.java
+++ b/core/src/main/java/org/amaranthpick/core/room/RoomObserver.java
@@ -203,7 +203,7 @@
         return Math.max(0, Math.max(report.queued() > 0 ? Math.max(1, memory) : memory, slots));
     }
 
-    /** Tells all daemons of loaded engines and of those that are no longer loaded. */
+    /** Sends all daemons the loads of engines that are loaded, or no longer are. */
     private void tell(String duty, Group group, long nowNs) {
         boolean wasLoaded = !group.mTold.isEmpty();
         List<RoomNews.Load> loads = new ArrayList<>();
--- a/server/src/main/java/org/amaranthpick/server/http/ConnectionWatch.java
+++ b/server/src/main/java/org/amaranthpick/server/http/ConnectionWatch.java
@@ -8,8 +8,8 @@
 import org.amaranthpick.core.time.Cancellable;
 
 /**
- * Tells the request in progress on a connection, in each of its parts, when the connection closes.
- * A connection keeps its close listeners until it closes, and callers keep a connection for many
+ * Notifies the request in progress on a connection, in each of its parts, when it closes. A
+ * connection keeps its close listeners until it closes, and callers keep a connection for many
  * requests: a listener of each request would keep all of them in memory. This is the only listener;
  * it knows no request that has ended.
  */
