Loads of engines are told from 0.7 on, once a second, in larger groups

The choice of a chain uses loads from 0.7 on only. RoomObserverTest 8, ReportedRoomTest 4, ChainLoadBalancerTest 8: 0 failures.

--- a/core/src/main/java/org/amaranthpick/core/room/ObservationDuties.java
+++ b/core/src/main/java/org/amaranthpick/core/room/ObservationDuties.java
@@ -19,7 +19,7 @@
  */
 final class ObservationDuties {
     /** Engines in a group. */
-    private static final int GROUP_SIZE = 16;
+    private static final int GROUP_SIZE = 32;
 
     /** Daemons that take over, in the order of their rank; they are told even on calm days. */
     private static final int SUCCESSORS = 2;
--- a/core/src/main/java/org/amaranthpick/core/room/ReportedRoom.java
+++ b/core/src/main/java/org/amaranthpick/core/room/ReportedRoom.java
@@ -76,7 +76,7 @@
     /**
      * Returns how many engines are known to be loaded.
      *
-     * @return number of engines that are at least half full
+     * @return number of engines that are loaded enough to be told to others
      */
     public int loadedEngines() {
         return (int)
--- a/core/src/main/java/org/amaranthpick/core/room/RoomObserver.java
+++ b/core/src/main/java/org/amaranthpick/core/room/RoomObserver.java
@@ -35,14 +35,14 @@
     static final int MIN_DAEMONS = 16;
 
     /** Fill from which a load is told to all daemons. */
-    static final double TOLD_FILL = 0.5;
+    static final double TOLD_FILL = 0.7;
 
     private static final Duration CALM_PERIOD = Duration.ofSeconds(2);
 
     /** Time after which queries that have not ended don't delay the next ones. */
     private static final Duration ROUND_TIMEOUT = CALM_PERIOD.multipliedBy(2);
 
-    private static final Duration LOADED_PERIOD = Duration.ofMillis(500);
+    private static final Duration LOADED_PERIOD = Duration.ofSeconds(1);
 
     private static final String TASK = "engine loads";
     private static final double PERCENT = 100;
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -94,7 +94,7 @@
     private final Gauge mLoadedEngines =
             Gauge.builder()
                     .name("amaranthpick_gateway_loaded_engines")
-                    .help("Engines that are known to be at least half full")
+                    .help("Engines that are known to be nearly full")
                     .register(mRegistry);
     private final Gauge mConfigurationVersion =
             Gauge.builder()
