--- a/core/src/main/java/org/amaranthpick/core/gateway/EngineModel.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/EngineModel.java
@@ -46,8 +46,9 @@
         Map<String, CardKind> cards) {
     private static final double BYTES_PER_MB = 1_000_000;
 
-    /** Copies the cards. */
+    /** Copies the cards. Descriptions of fleets may lack the limit of loads. */
     public EngineModel {
+        maxParallelLoads = maxParallelLoads == null ? OptionalInt.empty() : maxParallelLoads;
         cards = Map.copyOf(cards);
     }
 
