A stalled attempt is kept until another one answers

Callers saw: a stream broken off while its engine paused for about a second, which the users' pages allow a sound engine. Cause: ForwardedExchange.failOver cancelled the stalled attempt and then sent the request to another target. Where that one was full, failed or was silent, nothing was left, although the first engine went on. Class of fault: what is working is given up before its replacement is known to work. Now the request goes to another target beside the stalled attempt (AttemptPair). The one that brings the next event, or a whole response, is continued and the other one cancelled; if one ends, the other one goes on.

--- a/core/src/main/java/org/amaranthpick/core/gateway/SilenceTimeout.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/SilenceTimeout.java
@@ -39,6 +39,19 @@
         mRoute = route;
     }
 
+    /**
+     * Creates a timeout that has recorded the same events.
+     *
+     * @return independent timeout
+     */
+    public SilenceTimeout copy() {
+        SilenceTimeout copy = new SilenceTimeout(mRoute);
+        copy.mEventReceived = mEventReceived;
+        copy.mUsualPauseMs = mUsualPauseMs;
+        copy.mFactor = mFactor;
+        return copy;
+    }
+
     /** Resets the timeout for a new attempt, whose first event takes longer than later ones. */
     public void onAttempt() {
         mEventReceived = false;
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
@@ -87,6 +87,11 @@
         return mTarget;
     }
 
+    /** Returns whether an engine is part of the chain that the attempt is sent to. */
+    boolean passesThrough(String engineId) {
+        return mTarget.chain().filter(chain -> chain.contains(engineId)).isPresent();
+    }
+
     /** Returns whether a byte of the request may have left this host. */
     boolean sent() {
         return mSent;
@@ -148,7 +153,7 @@
                         && type != null
                         && type.startsWith(EVENT_STREAM);
         if (mStreaming) {
-            mExchange.onStreamHead(status, headers);
+            mExchange.onStreamHead(this, status, headers);
         }
     }
 
@@ -158,7 +163,7 @@
             return;
         }
         if (mStreaming) {
-            mExchange.onStreamBytes(bytes);
+            mExchange.onStreamBytes(this, bytes);
         } else if (mBody.size() + bytes.remaining() <= MAX_BODY_BYTES) {
             byte[] chunk = new byte[bytes.remaining()];
             bytes.get(chunk);
@@ -186,7 +191,7 @@
         } else if (callEnd instanceof CallEnd.Lost lost) {
             mExchange.onResponseLost(this, lost.reason());
         } else if (mStreaming) {
-            mExchange.onStreamEnd();
+            mExchange.onStreamEnd(this);
         } else {
             boolean success =
                     mVerdict.filter(UpstreamVerdict.Success.class::isInstance).isPresent();
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -12,7 +12,6 @@
 import org.amaranthpick.core.gateway.EventStreamSplitter;
 import org.amaranthpick.core.gateway.Target;
 import org.amaranthpick.core.gateway.UpstreamVerdict;
-import org.amaranthpick.core.reach.PathFault;
 import org.amaranthpick.core.register.UpstreamEntry;
 import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.server.http.CallEnd;
@@ -32,28 +31,22 @@
     private final HttpServerExchange mExchange;
     private final ForwardedRequest mRequest;
     private final GatewayContext mContext;
-    private final GatewayResponses mResponses;
     private final Listener mListener;
     private final CallerResponseWriter mResponseWriter;
-    private final EventStreamSplitter mEventSplitter;
     private final Set<String> mExcludedUpstreams = new HashSet<>();
     private Optional<BufferedResponse> mLastResponse = Optional.empty();
     private DisconnectDetector mDisconnectDetector;
-    private Optional<ForwardAttempt> mAttempt = Optional.empty();
     private Cancellable mDeadlineTimer = () -> {};
-    private final StallDetector mStallDetector;
+    private final AttemptPair mAttempts;
     private final PromptCrashGuard mCrashGuard;
     private final ExchangeLog mLog;
     private final HealthRecorder mHealth;
     private final SendHistory mSends;
     private final ExchangeAdmission mAdmission;
+    private final FailureResponse.Selector mFailures;
     private boolean mStreamStarted;
     private boolean mEnded;
 
-    /** Response of an upstream, kept while another upstream is tried. */
-    @SuppressWarnings("ArrayRecordComponent")
-    private record BufferedResponse(int status, HeaderMap headers, byte[] body) {}
-
     /** Receives events that concern other exchanges. */
     interface Listener {
         /** Handles the end of the exchange. */
@@ -72,7 +65,6 @@
         mExchange = exchange;
         mRequest = request;
         mContext = context;
-        mResponses = responses;
         mListener = listener;
         mResponseWriter =
                 new CallerResponseWriter(
@@ -80,11 +72,18 @@
                         context.dialect(),
                         this::onCallerDisconnected,
                         this::onCallerWritable);
-        mEventSplitter = new EventStreamSplitter(request.metadata().lastEventId());
-        mStallDetector = new StallDetector(request, context, this);
         mCrashGuard = new PromptCrashGuard(request, context);
         mSends = new SendHistory(request, context, mCrashGuard);
+        mAttempts =
+                new AttemptPair(
+                        request.metadata().lastEventId(),
+                        new StallDetector(request, context, this),
+                        mSends,
+                        mCrashGuard);
         mAdmission = new ExchangeAdmission(request, context, this::tryNextUpstream, this::fail);
+        mFailures =
+                new FailureResponse.Selector(
+                        exchange, request, responses, mSends, mCrashGuard, mAdmission);
         mLog = new ExchangeLog(request);
         mHealth = new HealthRecorder(context, mLog);
     }
@@ -121,69 +120,76 @@
     }
 
     private void sendTo(Target target, String reason) {
+        mAttempts.start(createAttempt(target, reason));
+    }
+
+    private ForwardAttempt createAttempt(Target target, String reason) {
         mSends.onSend();
-        mCrashGuard.onAttempt();
-        Duration remainingTime = remainingTime();
         UpstreamRequestMetadata metadata =
                 new UpstreamRequestMetadata(
                         target,
                         mRequest.metadata().deadline().map(deadline -> deadline.minus(elapsed())),
                         mRequest.workspace(),
                         mRequest.priority(),
-                        mEventSplitter.lastId());
+                        mAttempts.lastEventId());
         mContext.metrics().onAttempt(mRequest.route().kind(), mSends.sendCount() > 1);
         logRequest("attempt", reason + " " + ExchangeLog.describe(target));
-        ForwardAttempt attempt =
-                new ForwardAttempt(
-                        this,
-                        mRequest,
-                        mContext,
-                        target,
-                        mContext.dialect().upstreamHeaders(mRequest.headers(), metadata),
-                        remainingTime.plus(RESPONSE_MARGIN));
-        mAttempt = Optional.of(attempt);
-        mStallDetector.onAttempt(attempt);
-        attempt.start();
+        return new ForwardAttempt(
+                this,
+                mRequest,
+                mContext,
+                target,
+                mContext.dialect().upstreamHeaders(mRequest.headers(), metadata),
+                remainingTime().plus(RESPONSE_MARGIN));
     }
 
-    // Events of the current attempt.
+    void onStreamHead(ForwardAttempt attempt, int status, HeaderMap headers) {
+        if (mAttempts.isStandby(attempt)) {
+            mAttempts.onStandbyHead(() -> startStream(status, headers));
+        } else {
+            startStream(status, headers);
+            mAttempts.eventSplitter(attempt).dropPartial();
+        }
+    }
 
-    void onStreamHead(int status, HeaderMap headers) {
+    private void startStream(int status, HeaderMap headers) {
         if (!mStreamStarted) {
             mStreamStarted = true;
             mResponseWriter.startStream(status, headers);
         }
-        mEventSplitter.dropPartial();
     }
 
-    void onStreamBytes(ByteBuffer bytes) {
-        byte[] events = mEventSplitter.feed(bytes);
-        if (mEventSplitter.isOverlong()) {
-            ForwardAttempt attempt = mAttempt.get();
+    void onStreamBytes(ForwardAttempt attempt, ByteBuffer bytes) {
+        EventStreamSplitter splitter = mAttempts.eventSplitter(attempt);
+        byte[] events = splitter.feed(bytes);
+        if (splitter.isOverlong()) {
             attempt.cancel();
             onResponseLost(attempt, "the stream sends bytes without an event");
-            return;
-        }
-        if (events.length == 0) {
-            return;
+        } else if (events.length > 0) {
+            mAttempts.prefer(attempt);
+            onEvents(attempt, events);
         }
-        if (!mStallDetector.hasReceivedEvent()) {
-            mHealth.recordSuccess(mAttempt.get().target());
+    }
+
+    private void onEvents(ForwardAttempt attempt, byte[] events) {
+        if (!mAttempts.hasReceivedEvent(attempt)) {
+            mHealth.recordSuccess(attempt.target());
             mAdmission.onFirstEvent();
         }
-        mStallDetector.onEvent();
+        mAttempts.stallDetector().onEvent();
         mCrashGuard.onEvent();
         if (!mResponseWriter.sendChunk(events)) {
-            mAttempt.ifPresent(ForwardAttempt::pause);
+            attempt.pause();
         }
     }
 
-    void onStreamEnd() {
-        if (mEventSplitter.hasPartial()) {
-            onResponseLost(mAttempt.get(), "the stream ended in the middle of an event");
+    void onStreamEnd(ForwardAttempt attempt) {
+        if (mAttempts.eventSplitter(attempt).hasPartial()) {
+            onResponseLost(attempt, "the stream ended in the middle of an event");
             return;
         }
-        mHealth.recordSuccess(mAttempt.get().target());
+        mAttempts.prefer(attempt);
+        mHealth.recordSuccess(attempt.target());
         mCrashGuard.onStreamEnd();
         end("answered", "stream complete");
         mResponseWriter.finish();
@@ -199,10 +205,17 @@
         }
         mExcludedUpstreams.add(attempt.target().upstream().id());
         mLastResponse = Optional.of(new BufferedResponse(status, headers, body));
-        if (!success && serverError && mSends.acquireRetry(retryTime())) {
-            tryNextUpstream("status " + status);
-            return;
+        if (!success && serverError) {
+            String reason = "status " + status;
+            if (continueWithOther(attempt, reason)) {
+                return;
+            }
+            if (mSends.acquireRetry(retryTime())) {
+                tryNextUpstream(reason);
+                return;
+            }
         }
+        mAttempts.prefer(attempt);
         if (success) {
             mHealth.recordSuccess(attempt.target());
             mCrashGuard.onAnswered();
@@ -217,12 +230,11 @@
 
     void onNotSent(ForwardAttempt attempt, CallEnd.NotSent end) {
         UpstreamEntry upstream = attempt.target().upstream();
-        if (end.fault() == PathFault.UPSTREAM) {
-            mHealth.recordUnreachable(upstream, end.reason());
-        } else if (end.fault() == PathFault.UNCONFIRMED) {
-            mHealth.recordFailure(upstream, end.reason());
-        }
+        mHealth.recordNotSent(upstream, end);
         mExcludedUpstreams.add(upstream.id());
+        if (continueWithOther(attempt, end.reason())) {
+            return;
+        }
         if (mContext.upstreams().isIsolated()) {
             fail(ExchangeAdmission.NO_PATH);
         } else if (mSends.admitsFurtherSend()) {
@@ -235,29 +247,23 @@
     void onNotRun(ForwardAttempt attempt, int status, UpstreamVerdict.NotRun notRun) {
         String reason =
                 "status " + status + ", not run, at " + notRun.faultyAddress().orElse("first");
-        Optional<UpstreamEntry> faulty =
-                notRun.faultyAddress()
-                        .flatMap(address -> mContext.register().findByAddress(address));
-        UpstreamEntry failed = faulty.orElse(attempt.target().upstream());
-        if (notRun.misdirected()) {
-            mHealth.recordFailure(failed, reason);
-        } else if (attempt.target().chain().isPresent()) {
-            mContext.health().onBusy(failed.id(), nowNs());
-        }
-        mExcludedUpstreams.add(failed.id());
+        mExcludedUpstreams.add(mHealth.recordNotRun(attempt.target(), notRun, reason).id());
         retryNotRun(attempt, reason);
     }
 
     void onResponseLost(ForwardAttempt attempt, String reason) {
-        mContext.metrics().onLoss(mRequest.route().kind(), mStallDetector.hasReceivedEvent());
-        mLog.logLoss(
-                attempt.target().upstream(), mStallDetector.hasReceivedEvent(), elapsed(), reason);
-        mCrashGuard.onLost(attempt);
-        mSends.onBrokenOff(attempt, mStallDetector.hasReceivedEvent());
+        boolean answering = mAttempts.hasReceivedEvent(attempt);
+        mContext.metrics().onLoss(mRequest.route().kind(), answering);
+        mLog.logLoss(attempt.target().upstream(), answering, elapsed(), reason);
+        mCrashGuard.onLost(attempt, answering);
+        mSends.onBrokenOff(attempt, answering);
         if (!mStreamStarted || attempt.target().chain().isEmpty()) {
             mHealth.recordFailure(attempt.target().upstream(), reason);
         }
         mExcludedUpstreams.addAll(attempt.target().upstreamIds());
+        if (continueWithOther(attempt, reason)) {
+            return;
+        }
         if (mSends.acquireRetry(retryTime())) {
             tryNextUpstream(reason);
         } else {
@@ -271,11 +277,7 @@
      */
     void onQuarantine() {
         if (!mEnded && !mStreamStarted && mCrashGuard.quarantineTimeLeft().isPresent()) {
-            mAttempt.ifPresent(
-                    attempt -> {
-                        mSends.onCancelled(attempt);
-                        attempt.cancel();
-                    });
+            mAttempts.cancel();
             fail(QUARANTINED);
         }
     }
@@ -283,6 +285,9 @@
     /** Retries a request that reached an upstream and was not run there. */
     private void retryNotRun(ForwardAttempt attempt, String reason) {
         mExcludedUpstreams.add(attempt.target().upstream().id());
+        if (continueWithOther(attempt, reason)) {
+            return;
+        }
         if (mSends.acquireRetryNotRun()) {
             tryNextUpstream(reason);
         } else {
@@ -290,33 +295,30 @@
         }
     }
 
-    // Stalled attempts.
-
     /**
      * Handles an engine that another exchange found not to respond. If this stream passes through
      * that engine and is silent too, it fails over to another target without querying the engine.
      */
     void onEngineUnresponsive(String engineId, String reason) {
-        boolean affected =
-                !mEnded
-                        && mRequest.route().retryable()
-                        && mAttempt.flatMap(attempt -> attempt.target().chain())
-                                .filter(chain -> chain.contains(engineId))
-                                .isPresent();
-        if (affected && mStallDetector.exceedsUsualPause()) {
+        if (mEnded || !mRequest.route().retryable()) {
+            return;
+        }
+        if (mAttempts.isCurrentSilent(attempt -> attempt.passesThrough(engineId))) {
+            mExcludedUpstreams.add(engineId);
+            failOver(reason);
+        }
+        if (mAttempts.isStandbySilent(attempt -> attempt.passesThrough(engineId))) {
             mExcludedUpstreams.add(engineId);
-            failOver(mAttempt.get(), reason);
+            giveUpStandby(reason);
         }
     }
 
     /** Fails over if the stream is silent on a direct path. */
     void onPartitioned() {
-        boolean affected =
-                !mEnded
-                        && mRequest.route().retryable()
-                        && mAttempt.filter(attempt -> attempt.relay().isEmpty()).isPresent();
-        if (affected && mStallDetector.exceedsUsualPause()) {
-            failOver(mAttempt.get(), "all direct paths are broken");
+        if (!mEnded
+                && mRequest.route().retryable()
+                && mAttempts.isCurrentSilent(attempt -> attempt.relay().isEmpty())) {
+            failOver("all direct paths are broken");
         }
     }
 
@@ -325,59 +327,73 @@
             ForwardAttempt attempt, List<UpstreamEntry> stalledEngines, String reason) {
         stalledEngines.forEach(engine -> mHealth.recordUnreachable(engine, reason));
         stalledEngines.forEach(engine -> mExcludedUpstreams.add(engine.id()));
-        failOver(attempt, reason);
+        if (!mAttempts.isStandby(attempt)) {
+            failOver(reason);
+        } else if (attempt.target().chain().isPresent()) {
+            giveUpStandby(reason);
+        }
         stalledEngines.forEach(engine -> mListener.onEngineUnresponsive(engine.id(), reason));
     }
 
     /**
-     * Fails over to another target. The stalled attempt is cancelled only if there is another
-     * target with a path to it and the retry budget allows it.
+     * Sends the request to another target as well, if there is one with a path to it and the retry
+     * budget allows it. The stalled attempt goes on: its engine may only pause.
      */
-    private void failOver(ForwardAttempt attempt, String reason) {
+    private void failOver(String reason) {
+        if (mAttempts.hasStandby()) {
+            return;
+        }
+        ForwardAttempt stalled = mAttempts.current().get();
         Set<String> excluded = new HashSet<>(mExcludedUpstreams);
-        if (attempt.target().chain().isEmpty()) {
-            excluded.add(attempt.target().upstream().id());
+        if (stalled.target().chain().isEmpty()) {
+            excluded.add(stalled.target().upstream().id());
         }
         Optional<Target> next =
                 mContext.targetPolicy().choose(mRequest.service(), excluded, nowNs());
-        if (next.isEmpty() || mContext.upstreams().isLastPath(attempt.relay())) {
-            mStallDetector.backOff();
+        if (next.isEmpty()
+                || mContext.upstreams().isLastPath(stalled.relay())
+                || !mSends.acquireRetryInsteadOf(
+                        stalled, mAttempts.hasReceivedEvent(stalled), retryTime())) {
+            mAttempts.stallDetector().backOff();
             return;
         }
-        if (!mSends.acquireRetryInsteadOf(
-                attempt, mStallDetector.hasReceivedEvent(), retryTime())) {
-            mStallDetector.backOff();
-            return;
-        }
-        mSends.onBrokenOff(attempt, mStallDetector.hasReceivedEvent());
-        attempt.cancel();
         mExcludedUpstreams.addAll(excluded);
-        sendTo(next.get(), "stalled, " + reason);
+        mAttempts.startStandby(createAttempt(next.get(), "stalled, " + reason));
+    }
+
+    /** Goes on with the other one of two attempts; returns false if there is only one. */
+    private boolean continueWithOther(ForwardAttempt ended, String reason) {
+        if (!mAttempts.hasStandby()) {
+            return false;
+        }
+        if (mAttempts.removeEnded(ended)) {
+            failOver(reason);
+        }
+        return true;
     }
 
-    // End of the exchange.
+    private void giveUpStandby(String reason) {
+        mAttempts.cancelStandby();
+        failOver(reason);
+    }
 
     private void onDeadline() {
         if (!mEnded) {
-            mAttempt.ifPresent(
-                    attempt -> {
-                        mSends.onCancelled(attempt);
-                        attempt.cancel();
-                    });
+            mAttempts.cancel();
             fail("deadline exceeded");
         }
     }
 
     private void onCallerDisconnected() {
         if (!mEnded) {
-            mAttempt.ifPresent(ForwardAttempt::cancel);
+            mAttempts.cancel();
             end("gone", "the caller closed its connection");
             mResponseWriter.abort();
         }
     }
 
     private void onCallerWritable() {
-        mAttempt.ifPresent(ForwardAttempt::resume);
+        mAttempts.current().ifPresent(ForwardAttempt::resume);
     }
 
     private void fail(String reason) {
@@ -389,30 +405,17 @@
             mResponseWriter.abort();
         } else if (mLastResponse.isPresent()) {
             deliver(mLastResponse.get(), "status " + mLastResponse.get().status() + ", " + reason);
-        } else if (mSends.mayHaveRun()) {
-            boolean timedOut = remainingTime().compareTo(RESPONSE_MARGIN.multipliedBy(2)) < 0;
-            end(timedOut ? "timeout" : "interrupted", reason);
-            mResponses.sendInterrupted(mExchange, mRequest.metadata().requestId(), timedOut);
-        } else if (mCrashGuard.quarantineTimeLeft().isPresent()) {
-            end("refused", reason);
-            mResponses.sendQuarantined(
-                    mExchange,
-                    mRequest.metadata().requestId(),
-                    mCrashGuard.quarantineTimeLeft().get());
         } else {
-            end("refused", reason);
-            mResponses.sendNotRun(
-                    mExchange,
-                    mRequest.metadata().requestId(),
-                    remainingTime(),
-                    mAdmission.retryTime());
+            FailureResponse response = mFailures.select(remainingTime(), RESPONSE_MARGIN);
+            end(response.outcome(), reason);
+            response.send();
         }
     }
 
     private void end(String outcome, String reason) {
         mEnded = true;
         mDeadlineTimer.cancel();
-        mStallDetector.stop();
+        mAttempts.stop();
         mDisconnectDetector.stop();
         mAdmission.close(outcome.equals("answered"));
         logRequest(outcome, reason);
@@ -420,8 +423,6 @@
         mListener.onEnded(this);
     }
 
-    // Logging.
-
     private void logRequest(String outcome, String detail) {
         mLog.logRequest(outcome, mSends.sendCount(), elapsed(), detail);
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/PromptCrashGuard.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/PromptCrashGuard.java
@@ -74,10 +74,11 @@
         mContext.quarantine().onAnswered(mParts, nowNs());
     }
 
-    /** Handles the loss of the response to an attempt. */
-    void onLost(ForwardAttempt attempt) {
+    /** Handles the loss of the response to an attempt, of which events may have been received. */
+    void onLost(ForwardAttempt attempt, boolean receivedEvent) {
         boolean answering =
-                mFirstEventNs.isPresent()
+                receivedEvent
+                        && mFirstEventNs.isPresent()
                         && nowNs() - mFirstEventNs.getAsLong() >= MIN_ANSWERING_TIME.toNanos();
         if (attempt.sent() && !answering) {
             mLossCount++;
--- a/server/src/main/java/org/amaranthpick/server/gateway/StallDetector.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/StallDetector.java
@@ -41,10 +41,23 @@
     }
 
     StallDetector(ForwardedRequest request, GatewayContext context, Listener listener) {
+        this(request, context, listener, new SilenceTimeout(request.route()));
+    }
+
+    private StallDetector(
+            ForwardedRequest request,
+            GatewayContext context,
+            Listener listener,
+            SilenceTimeout silenceTimeout) {
         mRequest = request;
         mContext = context;
         mListener = listener;
-        mSilenceTimeout = new SilenceTimeout(request.route());
+        mSilenceTimeout = silenceTimeout;
+    }
+
+    /** Creates a detector for another attempt, which knows the usual pause of the stream. */
+    StallDetector forOtherAttempt() {
+        return new StallDetector(mRequest, mContext, mListener, mSilenceTimeout.copy());
     }
 
     /** Starts monitoring an attempt instead of the previous one. */
