Engines that pause cost no other engine its layers

Callers saw: streams cut, at many hosts at once, a second after some engines fell silent beside a change of the configuration, though no engine had crashed. Cause: the holder of the lease for the layers left out an engine as soon as its own traffic had found it silent, and RepairDelay allowed other engines to take over its layers at once if the register had not changed for 3 s. A paused engine stays registered, so that this was always so. The order shrinks or replaces what a sound engine holds and stops the streams of its chain. Class of fault: a short silence is taken for a loss, and what still works is given up for it. Now layers must have been missing for 3 s, counted from the first failure of their engine without a success since, and no engine may have returned meanwhile. Empty engines get missing layers at once, as before.

--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlacementController.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlacementController.java
@@ -133,7 +133,10 @@
         LayerPlanner planner = new LayerPlanner(model);
         RepairDelay delay = mRepairDelays.computeIfAbsent(service, s -> new RepairDelay());
         delay.onMembers(mRegister.findByService(service), nowNs);
-        for (List<EngineLayerState> group : planner.groupByDomain(engines)) {
+        // An engine that is tried again after a failure may still be lost.
+        List<EngineLayerState> answering =
+                engines.stream().filter(e -> !mHealth.failedSinceSuccess(e.id())).toList();
+        for (List<EngineLayerState> group : planner.groupByDomain(answering)) {
             delay.onHolders(group, planner.countHolders(group), nowNs);
         }
         List<LayerOrder> planned =
--- a/core/src/main/java/org/amaranthpick/core/layers/RepairDelay.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/RepairDelay.java
@@ -11,14 +11,14 @@
 
 /**
  * Decides when engines of a failure domain that hold layers may get other ones. Such an order stops
- * the streams of the engine's chain, while engines that crashed or were partitioned mostly register
- * again within seconds. Designed for engines that come and go all the time under load: layers that
- * stay missing are replaced however often the other engines change, unless engines are returning
- * with their layers. A new holder of the lease begins anew, as it doesn't know the orders that the
- * previous one has just sent.
+ * the streams of the engine's chain, while engines that pause go on after about a second, and those
+ * that crashed or were partitioned mostly register again within seconds. Designed for engines that
+ * come and go all the time under load: layers that stay missing are replaced however often the
+ * other engines change, unless engines are returning with their layers. A new holder of the lease
+ * begins anew, as it doesn't know the orders that the previous one has just sent.
  */
 public final class RepairDelay {
-    /** Time for which layers must be missing, or the engines of a domain must stay the same. */
+    /** Time for which layers must be missing, and no engine may have returned with its layers. */
     public static final Duration PERIOD = Duration.ofSeconds(3);
 
     private final Map<String, Domain> mDomains = new HashMap<>();
@@ -26,7 +26,6 @@
     /** What is known of a failure domain. */
     private static final class Domain {
         private Set<String> mMembers = Set.of();
-        private long mChangedNs;
         private long mReturnedNs;
         private long[] mMissingSinceNs = new long[0];
     }
@@ -46,20 +45,14 @@
                 domain.mReturnedNs = nowNs;
             }
         }
-        mDomains.forEach(
-                (name, domain) -> {
-                    Set<String> members = present.getOrDefault(name, Set.of());
-                    if (!members.equals(domain.mMembers)) {
-                        domain.mMembers = members;
-                        domain.mChangedNs = nowNs;
-                    }
-                });
+        mDomains.forEach((name, domain) -> domain.mMembers = present.getOrDefault(name, Set.of()));
     }
 
     /**
      * Records the layers that are held or ordered.
      *
-     * @param group engines of the failure domains that hold copies together
+     * @param group engines of the failure domains that hold copies together, without those that
+     *     have failed and not succeeded since
      * @param holders number of the group's engines that hold each layer
      * @param nowNs monotonic time
      */
@@ -82,8 +75,8 @@
      *
      * @param name name of the failure domain
      * @param nowNs monotonic time
-     * @return true if its engines have been the same for a while, or layers have been missing for
-     *     as long and no engine has returned with its layers meanwhile
+     * @return true if layers have been missing for {@link #PERIOD} and no engine has returned with
+     *     its layers meanwhile
      */
     boolean allowsRepair(String name, long nowNs) {
         Domain domain = mDomains.get(name);
@@ -95,6 +88,6 @@
         for (long missingSinceNs : domain.mMissingSinceNs) {
             missingLong |= missingSinceNs <= sinceNs;
         }
-        return domain.mChangedNs <= sinceNs || (missingLong && domain.mReturnedNs <= sinceNs);
+        return missingLong && domain.mReturnedNs <= sinceNs;
     }
 }
--- a/core/src/main/java/org/amaranthpick/core/register/UpstreamHealth.java
+++ b/core/src/main/java/org/amaranthpick/core/register/UpstreamHealth.java
@@ -176,6 +176,16 @@
         return mFailing.containsKey(id) || (busy != null && busy.failures() >= REFUSALS_OF_FAILING);
     }
 
+    /**
+     * Checks whether this daemon has observed a failure of an upstream and no success since.
+     *
+     * @param id id of the upstream
+     * @return true from the failure until the next success
+     */
+    public boolean failedSinceSuccess(String id) {
+        return mFailing.containsKey(id);
+    }
+
     /**
      * Records a success of the upstream.
      *
--- a/core/src/test/java/org/amaranthpick/core/layers/LayerPlacementControllerTest.java
+++ b/core/src/test/java/org/amaranthpick/core/layers/LayerPlacementControllerTest.java
@@ -28,10 +28,13 @@
 import org.amaranthpick.core.store.WriterTokens;
 import org.amaranthpick.core.time.VirtualScheduler;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class LayerPlacementControllerTest {
     private final VirtualScheduler mScheduler = new VirtualScheduler(Instant.EPOCH);
     private final UpstreamRegister mRegister = new UpstreamRegister();
+    private final UpstreamHealth mHealth = new UpstreamHealth();
     private final FakeEngines mEngines = new FakeEngines();
     private final LeaseManager mLease =
             new LeaseManager(
@@ -53,7 +56,7 @@
         return new LayerPlacementController(
                 () -> Optional.of(configuration()),
                 mRegister,
-                new UpstreamHealth(),
+                mHealth,
                 mEngines,
                 mLease,
                 mScheduler,
@@ -105,6 +108,53 @@
         assertEquals(orders, mEngines.mOrders.size());
     }
 
+    /** Streams were cut by orders to sound engines, since others paused for about a second. */
+    @ParameterizedTest
+    @CsvSource({
+        "a,250", "a,1000", "a,1500", "a,2750", "b,250", "b,1000", "b,1500", "b,2750", "c,250",
+        "c,1000", "c,1500", "c,2750"
+    })
+    void noEngineWithLayersGetsOthersWhileEnginesOfItsDomainPause(String domain, long pauseMs) {
+        register(Map.of());
+        run(Duration.ofSeconds(14));
+        register(mEngines.mHeld);
+        run(Duration.ofSeconds(10));
+        int orders = mEngines.mOrders.size();
+        for (String card : List.of("small", "tiny", "mid")) {
+            List<String> silent =
+                    mRegister.findByService("llm").stream()
+                            .filter(e -> e.domain().equals(domain) && e.card().get().equals(card))
+                            .map(UpstreamEntry::id)
+                            .toList();
+            for (long ms = 0; ms < pauseMs; ms += 250) {
+                silent.forEach(id -> mHealth.onUnreachable(id, mScheduler.monotonicNs()));
+                run(Duration.ofMillis(250));
+            }
+            silent.forEach(id -> mHealth.onSuccess(id, mScheduler.monotonicNs()));
+            run(Duration.ofSeconds(5));
+        }
+        assertEquals(List.of(), mEngines.mOrders.subList(orders, mEngines.mOrders.size()));
+    }
+
+    /** An engine that is gone, but still registered, is replaced. */
+    @Test
+    void layersOfEnginesThatStaySilentAreReplaced() {
+        register(Map.of());
+        run(Duration.ofSeconds(14));
+        register(mEngines.mHeld);
+        run(Duration.ofSeconds(10));
+        int orders = mEngines.mOrders.size();
+        for (long ms = 0; ms < RepairDelay.PERIOD.toMillis() + 1000; ms += 250) {
+            for (UpstreamEntry entry : List.copyOf(mRegister.findByService("llm"))) {
+                if (entry.domain().equals("b") && entry.card().get().equals("tiny")) {
+                    mHealth.onUnreachable(entry.id(), mScheduler.monotonicNs());
+                }
+            }
+            run(Duration.ofMillis(250));
+        }
+        assertTrue(mEngines.mOrders.size() > orders);
+    }
+
     /** A new holder of the lease doesn't know the orders that the previous holder sent. */
     @Test
     void theOrderCountOfAnEngineWithLayersIsQueriedBeforeItsFirstOrder() {
