A stopping host logs its requests and the end of its stop

The JDK's log manager removes all handlers in a shutdown hook of its own, at the same time as the hook that drains runs. And the log's writer thread takes the first line of a batch out of the queue 50 ms before it writes it, so a flush right before the exit could not write that line.

'serve' did not have the fault: it sets the manager before its first logger. Lines stay in the queue until they are written, and a flush waits for those being written.

BoundedLogHandlerTest.aFlushWritesTheLinesThatTheWriterThreadIsCollecting failed before (nothing written), passes now.

--- a/server/src/main/java/org/amaranthpick/server/log/BoundedLogHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/log/BoundedLogHandler.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 import java.util.logging.Handler;
@@ -37,6 +38,9 @@
             new LogRateLimiter(MAX_INFO_LINES_PER_SECOND, MAX_WARNING_LINES_PER_SECOND);
     private final BlockingQueue<String> mQueue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
 
+    /** Has permits if lines were queued since the writer thread last wrote. */
+    private final Semaphore mQueued = new Semaphore(0);
+
     /**
      * Creates a handler; {@link #startWriter()} starts its thread.
      *
@@ -72,12 +76,14 @@
         }
     }
 
-    /** Writes all queued lines. */
+    /** Writes all queued lines; returns when those that the writer thread has are written too. */
     @Override
     public void flush() {
-        List<String> lines = new ArrayList<>();
-        mQueue.drainTo(lines);
-        write(lines);
+        synchronized (mOut) {
+            List<String> lines = new ArrayList<>();
+            mQueue.drainTo(lines);
+            write(lines);
+        }
     }
 
     @Override
@@ -86,7 +92,9 @@
     }
 
     private void enqueue(String line) {
-        if (!mQueue.offer(line)) {
+        if (mQueue.offer(line)) {
+            mQueued.release();
+        } else {
             mRateLimiter.recordDropped();
         }
     }
@@ -94,11 +102,10 @@
     private void runWriter() {
         try {
             while (true) {
-                List<String> lines = new ArrayList<>();
-                lines.add(mQueue.take());
+                mQueued.acquire();
                 LockSupport.parkNanos(BATCH_DELAY.toNanos());
-                mQueue.drainTo(lines);
-                write(lines);
+                mQueued.drainPermits();
+                flush();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/tools/src/main/java/org/amaranthpick/tools/ShutdownSafeLogManager.java
+++ b/server/src/main/java/org/amaranthpick/server/log/ShutdownSafeLogManager.java
@@ -1,4 +1,4 @@
-package org.amaranthpick.tools;
+package org.amaranthpick.server.log;
 
 import java.util.logging.LogManager;
 
--- a/server/src/test/java/org/amaranthpick/server/log/BoundedLogHandlerTest.java
+++ b/server/src/test/java/org/amaranthpick/server/log/BoundedLogHandlerTest.java
@@ -5,6 +5,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.locks.LockSupport;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import org.junit.jupiter.api.Test;
@@ -44,6 +46,28 @@
         assertEquals("I next", lines[302]);
     }
 
+    /** The last lines of a process are written by a flush, right before it exits. */
+    @Test
+    void aFlushWritesTheLinesThatTheWriterThreadIsCollecting() {
+        mHandler.startWriter();
+        StringBuilder published = new StringBuilder();
+        for (int i = 0; i < 200 && (published.isEmpty() || !isCollecting()); i++) {
+            mHandler.publish(new LogRecord(Level.INFO, "line " + i));
+            published.append("I line ").append(i).append('\n');
+            LockSupport.parkNanos(Duration.ofMillis(1).toNanos());
+        }
+        mHandler.flush();
+        assertEquals(published.toString(), mOut.toString(StandardCharsets.UTF_8));
+    }
+
+    private static boolean isCollecting() {
+        return Thread.getAllStackTraces().keySet().stream()
+                .anyMatch(
+                        thread ->
+                                thread.getName().equals("log-writer")
+                                        && thread.getState() == Thread.State.TIMED_WAITING);
+    }
+
     @Test
     void dropsLinesWhenTheQueueIsFull() {
         for (int second = 0; second < 20; second++) {
--- a/tools/src/main/java/org/amaranthpick/tools/Main.java
+++ b/tools/src/main/java/org/amaranthpick/tools/Main.java
@@ -5,6 +5,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.amaranthpick.server.log.ShutdownSafeLogManager;
 import org.amaranthpick.tools.demo.DemoCommand;
 import org.amaranthpick.tools.demo.SoakCommand;
 import org.amaranthpick.tools.demo.StandInsCommand;
