A stalled standby is replaced, not given up; an engine that goes on is sound again

It is cancelled once a send to another target has been acquired. - The standby could begin at the engine of the stalled attempt. It begins elsewhere if it can. - An engine that went on after a pause was not recorded as sound as long as its stream lasted, so that a second pause more than 3 s later could move layers at once. The first event after a stall is a success of its engines. - A standby that reached no upstream took a second part of the retry budget; nothing is tried while the host has no path. - The standby of a plain service was not watched any longer once it had stalled. PausedEngineTest with the new case (the first engine is lost while the other one pauses) and BrokenStreamTest: 0 failures. The new case was not run on the code before.

--- a/server/src/main/java/org/amaranthpick/server/gateway/AttemptPair.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/AttemptPair.java
@@ -73,6 +73,10 @@
         return mCurrent;
     }
 
+    Optional<ForwardAttempt> standby() {
+        return mStandby.map(standby -> standby.mAttempt);
+    }
+
     boolean hasStandby() {
         return mStandby.isPresent();
     }
@@ -159,6 +163,11 @@
         standby.mStartStream.run();
     }
 
+    /** Raises the silence after which the standby counts as stalled. */
+    void backOffStandby() {
+        mStandby.ifPresent(standby -> standby.mStallDetector.backOff());
+    }
+
     void cancelStandby() {
         mStandby.ifPresent(
                 standby -> {
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -38,6 +38,7 @@
     private DisconnectDetector mDisconnectDetector;
     private Cancellable mDeadlineTimer = () -> {};
     private final AttemptPair mAttempts;
+    private final StandbyTargets mStandbyTargets;
     private final PromptCrashGuard mCrashGuard;
     private final ExchangeLog mLog;
     private final HealthRecorder mHealth;
@@ -45,6 +46,7 @@
     private final ExchangeAdmission mAdmission;
     private final FailureResponse.Selector mFailures;
     private boolean mStreamStarted;
+    private boolean mStalled;
     private boolean mEnded;
 
     /** Receives events that concern other exchanges. */
@@ -80,6 +82,7 @@
                         new StallDetector(request, context, this),
                         mSends,
                         mCrashGuard);
+        mStandbyTargets = new StandbyTargets(request, context, mAttempts, mSends);
         mAdmission = new ExchangeAdmission(request, context, this::tryNextUpstream, this::fail);
         mFailures =
                 new FailureResponse.Selector(
@@ -175,7 +178,10 @@
         if (!mAttempts.hasReceivedEvent(attempt)) {
             mHealth.recordSuccess(attempt.target());
             mAdmission.onFirstEvent();
+        } else if (mStalled) {
+            mHealth.recordSuccess(attempt.target());
         }
+        mStalled = false;
         mAttempts.stallDetector().onEvent();
         mCrashGuard.onEvent();
         if (!mResponseWriter.sendChunk(events)) {
@@ -248,7 +254,15 @@
         String reason =
                 "status " + status + ", not run, at " + notRun.faultyAddress().orElse("first");
         mExcludedUpstreams.add(mHealth.recordNotRun(attempt.target(), notRun, reason).id());
-        retryNotRun(attempt, reason);
+        mExcludedUpstreams.add(attempt.target().upstream().id());
+        if (continueWithOther(attempt, reason)) {
+            return;
+        }
+        if (mSends.acquireRetryNotRun()) {
+            tryNextUpstream(reason);
+        } else {
+            fail(reason);
+        }
     }
 
     void onResponseLost(ForwardAttempt attempt, String reason) {
@@ -282,19 +296,6 @@
         }
     }
 
-    /** Retries a request that reached an upstream and was not run there. */
-    private void retryNotRun(ForwardAttempt attempt, String reason) {
-        mExcludedUpstreams.add(attempt.target().upstream().id());
-        if (continueWithOther(attempt, reason)) {
-            return;
-        }
-        if (mSends.acquireRetryNotRun()) {
-            tryNextUpstream(reason);
-        } else {
-            fail(reason);
-        }
-    }
-
     /**
      * Handles an engine that another exchange found not to respond. If this stream passes through
      * that engine and is silent too, it fails over to another target without querying the engine.
@@ -304,12 +305,13 @@
             return;
         }
         if (mAttempts.isCurrentSilent(attempt -> attempt.passesThrough(engineId))) {
+            mStalled = true;
             mExcludedUpstreams.add(engineId);
             failOver(reason);
         }
         if (mAttempts.isStandbySilent(attempt -> attempt.passesThrough(engineId))) {
             mExcludedUpstreams.add(engineId);
-            giveUpStandby(reason);
+            replaceStandby(reason);
         }
     }
 
@@ -328,9 +330,12 @@
         stalledEngines.forEach(engine -> mHealth.recordUnreachable(engine, reason));
         stalledEngines.forEach(engine -> mExcludedUpstreams.add(engine.id()));
         if (!mAttempts.isStandby(attempt)) {
+            mStalled = true;
             failOver(reason);
         } else if (attempt.target().chain().isPresent()) {
-            giveUpStandby(reason);
+            replaceStandby(reason);
+        } else {
+            mAttempts.backOffStandby();
         }
         stalledEngines.forEach(engine -> mListener.onEngineUnresponsive(engine.id(), reason));
     }
@@ -340,25 +345,27 @@
      * budget allows it. The stalled attempt goes on: its engine may only pause.
      */
     private void failOver(String reason) {
-        if (mAttempts.hasStandby()) {
-            return;
-        }
-        ForwardAttempt stalled = mAttempts.current().get();
-        Set<String> excluded = new HashSet<>(mExcludedUpstreams);
-        if (stalled.target().chain().isEmpty()) {
-            excluded.add(stalled.target().upstream().id());
-        }
-        Optional<Target> next =
-                mContext.targetPolicy().choose(mRequest.service(), excluded, nowNs());
-        if (next.isEmpty()
-                || mContext.upstreams().isLastPath(stalled.relay())
-                || !mSends.acquireRetryInsteadOf(
-                        stalled, mAttempts.hasReceivedEvent(stalled), retryTime())) {
+        if (!mAttempts.hasStandby() && !startStandby(reason, true)) {
             mAttempts.stallDetector().backOff();
-            return;
         }
-        mExcludedUpstreams.addAll(excluded);
-        mAttempts.startStandby(createAttempt(next.get(), "stalled, " + reason));
+    }
+
+    /** Replaces a standby that has stalled too, if there is another target. */
+    private void replaceStandby(String reason) {
+        if (!startStandby(reason, true)) {
+            mAttempts.backOffStandby();
+        }
+    }
+
+    private boolean startStandby(String reason, boolean fromBudget) {
+        Optional<Target> target =
+                mStandbyTargets.acquire(mExcludedUpstreams, fromBudget, retryTime());
+        target.ifPresent(
+                next -> {
+                    mAttempts.cancelStandby();
+                    mAttempts.startStandby(createAttempt(next, "stalled, " + reason));
+                });
+        return target.isPresent();
     }
 
     /** Goes on with the other one of two attempts; returns false if there is only one. */
@@ -366,17 +373,13 @@
         if (!mAttempts.hasStandby()) {
             return false;
         }
-        if (mAttempts.removeEnded(ended)) {
-            failOver(reason);
+        // A send that reached no upstream has left its part of the budget unused.
+        if (mAttempts.removeEnded(ended) && !startStandby(reason, ended.sent())) {
+            mAttempts.stallDetector().backOff();
         }
         return true;
     }
 
-    private void giveUpStandby(String reason) {
-        mAttempts.cancelStandby();
-        failOver(reason);
-    }
-
     private void onDeadline() {
         if (!mEnded) {
             mAttempts.cancel();
