A response without end takes at most 256 KB without progress

Seen by callers: an engine that sends a head, trailers, a chunk extension, a chunk size or interim responses without end fills the heap of the daemon that called it; ExitOnOutOfMemoryError then ends all its requests.

Cause: the library reads a response head, trailers and chunk framing in a loop as long as bytes come, and keeps them. The check each 250 ms runs on the same I/O thread, so it comes after the loop; framing within a body was not checked at all.

Fix: a conduit below the library's parser counts the bytes of a connection since its call last made progress (began, head complete, body bytes) and fails the read beyond 256 KB. The library opens connections through an XnioIoThread, the one public place to install it; LimitingThread passes on to the real thread. The periodic check is gone.

Heads with many short headers passed before: the parser refuses them.

--- a/server/src/main/java/org/amaranthpick/server/http/ConnectionOpener.java
+++ b/server/src/main/java/org/amaranthpick/server/http/ConnectionOpener.java
@@ -1,6 +1,5 @@
 package org.amaranthpick.server.http;
 
-import io.undertow.client.ClientConnection;
 import java.time.Duration;
 import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.core.time.Scheduler;
@@ -30,9 +29,9 @@
     }
 
     @Override
-    public void onConnection(ClientConnection connection, boolean reused) {
+    public void onConnection(LimitedConnection connection, boolean reused) {
         if (mDone) {
-            Connections.closeNow(connection);
+            connection.closeNow();
             return;
         }
         mDone = true;
--- a/server/src/main/java/org/amaranthpick/server/http/HostPool.java
+++ b/server/src/main/java/org/amaranthpick/server/http/HostPool.java
@@ -31,7 +31,7 @@
                     .getMap();
 
     private final URI mAddress;
-    private final XnioIoThread mThread;
+    private final LimitingThread mThread;
     private final ByteBufferPool mBuffers;
     private final Scheduler mScheduler;
     private final ConnectorSettings mSettings;
@@ -50,7 +50,7 @@
          * @param connection the connection, to be released or closed by the taker
          * @param reused true if it carried a call before
          */
-        void onConnection(ClientConnection connection, boolean reused);
+        void onConnection(LimitedConnection connection, boolean reused);
 
         /**
          * There is none.
@@ -60,7 +60,7 @@
         void onNoConnection(String reason);
     }
 
-    private record Idle(ClientConnection connection, long sinceNs) {}
+    private record Idle(LimitedConnection connection, long sinceNs) {}
 
     HostPool(
             URI address,
@@ -70,7 +70,7 @@
             ConnectorSettings settings,
             ConnectorCounters counters) {
         mAddress = address;
-        mThread = thread;
+        mThread = new LimitingThread(thread);
         mBuffers = buffers;
         mScheduler = scheduler;
         mSettings = settings;
@@ -128,7 +128,7 @@
             connect(taker);
         } else if (!mIdle.isEmpty()) {
             mWaiting.addFirst(taker);
-            Connections.closeNow(mIdle.pollFirst().connection());
+            mIdle.pollFirst().connection().closeNow();
         } else if (mWaiting.size() < mSettings.maxWaiting()) {
             mWaiting.addLast(taker);
         } else {
@@ -142,9 +142,9 @@
     }
 
     /** Takes back a connection whose call was read to its end. */
-    void release(ClientConnection connection) {
+    void release(LimitedConnection connection) {
         if (mClosed || !connection.isOpen()) {
-            Connections.closeNow(connection);
+            connection.closeNow();
             return;
         }
         Taker next = mWaiting.pollFirst();
@@ -162,7 +162,7 @@
     /** Closes every idle connection: one of the same age was found silent. */
     void dropIdle() {
         while (!mIdle.isEmpty()) {
-            Connections.closeNow(mIdle.pollFirst().connection());
+            mIdle.pollFirst().connection().closeNow();
         }
     }
 
@@ -180,7 +180,7 @@
             if (idle.connection().isOpen() && !isOld(idle)) {
                 return idle;
             }
-            Connections.closeNow(idle.connection());
+            idle.connection().closeNow();
         }
         return null;
     }
@@ -196,7 +196,9 @@
                 new ClientCallback<>() {
                     @Override
                     public void completed(ClientConnection connection) {
-                        execute(() -> onOpened(connection, taker));
+                        LimitedConnection limited =
+                                new LimitedConnection(connection, mThread.latest());
+                        execute(() -> onOpened(limited, taker));
                     }
 
                     @Override
@@ -211,9 +213,9 @@
         }
     }
 
-    private void onOpened(ClientConnection connection, Taker taker) {
+    private void onOpened(LimitedConnection connection, Taker taker) {
         mCounters.countOpened();
-        connection.addCloseListener(closed -> execute(this::onClosed));
+        connection.client().addCloseListener(closed -> execute(this::onClosed));
         taker.onConnection(connection, false);
     }
 
@@ -250,7 +252,7 @@
             Idle idle = it.next();
             if (isOld(idle)) {
                 it.remove();
-                Connections.closeNow(idle.connection());
+                idle.connection().closeNow();
             }
         }
         if (!mIdle.isEmpty()) {
--- a/server/src/main/java/org/amaranthpick/server/http/OpenedConnection.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OpenedConnection.java
@@ -1,6 +1,5 @@
 package org.amaranthpick.server.http;
 
-import io.undertow.client.ClientConnection;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.xnio.StreamConnection;
@@ -8,7 +7,7 @@
 /** Connection that was opened before there is a call for it. */
 public final class OpenedConnection implements AutoCloseable {
     private final HostPool mPool;
-    private final ClientConnection mConnection;
+    private final LimitedConnection mConnection;
 
     /** Receives what came of opening a connection, on the I/O thread of its pool. */
     public interface Listener {
@@ -27,7 +26,7 @@
         void onFailed(String reason);
     }
 
-    OpenedConnection(HostPool pool, ClientConnection connection) {
+    OpenedConnection(HostPool pool, LimitedConnection connection) {
         mPool = pool;
         mConnection = connection;
     }
@@ -41,7 +40,7 @@
         if (!mConnection.isOpen()) {
             return false;
         }
-        try (StreamConnection raw = mConnection.performUpgrade()) {
+        try (StreamConnection raw = mConnection.client().performUpgrade()) {
             return raw.getSourceChannel().read(ByteBuffer.allocate(1)) == 0;
         } catch (IOException e) {
             return false;
@@ -52,12 +51,12 @@
         return mPool;
     }
 
-    ClientConnection connection() {
+    LimitedConnection connection() {
         return mConnection;
     }
 
     @Override
     public void close() {
-        Connections.closeNow(mConnection);
+        mConnection.closeNow();
     }
 }
--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -1,7 +1,6 @@
 package org.amaranthpick.server.http;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
@@ -22,11 +21,6 @@
  * called on any thread.
  */
 public final class OutgoingCall {
-    /** Largest response head; more shows that the bytes are no response. */
-    private static final long MAX_HEAD_BYTES = 256 * 1024;
-
-    private static final Duration HEAD_CHECK_PERIOD = Duration.ofMillis(250);
-
     private final HostPool mPool;
     private final Scheduler mScheduler;
     private final OutgoingRequest mRequest;
@@ -34,11 +28,10 @@
     private final HostPool.Taker mTaker = new ConnectionTaker();
     private final Optional<OpenedConnection> mOpened;
 
-    private ClientConnection mConnection;
+    private LimitedConnection mConnection;
     private StreamSourceChannel mSource;
     private ByteBuffer mBody;
     private long mWrittenBefore;
-    private long mReadBefore;
     private long mLastByteNs;
     private boolean mReused;
     private boolean mReplaced;
@@ -48,7 +41,6 @@
     private boolean mDone;
     private Cancellable mStepTimer = () -> {};
     private Cancellable mTotalTimer = () -> {};
-    private Cancellable mHeadTimer = () -> {};
 
     OutgoingCall(
             HostPool pool,
@@ -129,32 +121,19 @@
         fail("no whole response in time");
     }
 
-    private void use(ClientConnection connection, boolean reused) {
+    private void use(LimitedConnection connection, boolean reused) {
         mStepTimer.cancel();
         mConnection = connection;
         mReused = reused;
-        mWrittenBefore = connection.getStatistics().getWritten();
-        mReadBefore = connection.getStatistics().getRead();
+        mWrittenBefore = connection.client().getStatistics().getWritten();
+        connection.limit().onProgress();
         tellSending();
         if (mDone) {
             return;
         }
         mLastByteNs = mScheduler.monotonicNs();
         mStepTimer = after(mRequest.silence(), this::checkSilence);
-        mHeadTimer = after(HEAD_CHECK_PERIOD, this::checkHead);
-        connection.sendRequest(clientRequest(), callback(this::onExchange));
-    }
-
-    /** Ends the call if a head comes without end; the parser would keep all of it. */
-    private void checkHead() {
-        if (mSource != null || mConnection == null) {
-            return;
-        }
-        if (mConnection.getStatistics().getRead() - mReadBefore > MAX_HEAD_BYTES) {
-            fail("the response head is over " + MAX_HEAD_BYTES + " bytes");
-        } else {
-            mHeadTimer = after(HEAD_CHECK_PERIOD, this::checkHead);
-        }
+        connection.client().sendRequest(clientRequest(), callback(this::onExchange));
     }
 
     private void tellSending() {
@@ -226,7 +205,7 @@
         if (mDone) {
             return;
         }
-        mHeadTimer.cancel();
+        mConnection.limit().onProgress();
         mSource = exchange.getResponseChannel();
         mSource.getReadSetter().set(this::read);
         read(mSource);
@@ -246,6 +225,7 @@
                     return;
                 }
                 mLastByteNs = mScheduler.monotonicNs();
+                mConnection.limit().onProgress();
                 mListener.onBytes(buffer.flip());
                 if (!mListener.acceptsMore()) {
                     fail("the response is longer than its receiver takes");
@@ -267,12 +247,12 @@
     }
 
     private void complete() {
-        ClientConnection connection = mConnection;
+        LimitedConnection connection = mConnection;
         mConnection = null;
         if (mRequestWritten && mListener.keepsConnection()) {
             mPool.release(connection);
         } else {
-            Connections.closeNow(connection);
+            connection.closeNow();
         }
         end(new CallEnd.Complete());
     }
@@ -315,7 +295,8 @@
     }
 
     private boolean nothingWritten() {
-        return mConnection == null || mConnection.getStatistics().getWritten() == mWrittenBefore;
+        return mConnection == null
+                || mConnection.client().getStatistics().getWritten() == mWrittenBefore;
     }
 
     private void fail(String reason) {
@@ -330,10 +311,10 @@
 
     /** Lets go of the connection first: what its close tells is no news. */
     private void closeConnection() {
-        ClientConnection connection = mConnection;
+        LimitedConnection connection = mConnection;
         mConnection = null;
         if (connection != null) {
-            Connections.closeNow(connection);
+            connection.closeNow();
         }
     }
 
@@ -344,7 +325,6 @@
         mDone = true;
         mStepTimer.cancel();
         mTotalTimer.cancel();
-        mHeadTimer.cancel();
         mListener.onEnd(end);
     }
 
@@ -359,18 +339,18 @@
     }
 
     private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> then) {
-        ClientConnection connection = mConnection;
+        LimitedConnection connection = mConnection;
         return new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
-                if (connection == mConnection) {
+                if (connection.equals(mConnection)) {
                     then.accept(exchange);
                 }
             }
 
             @Override
             public void failed(IOException e) {
-                if (connection == mConnection) {
+                if (connection.equals(mConnection)) {
                     onFailure(e);
                 }
             }
@@ -379,7 +359,7 @@
 
     private final class ConnectionTaker implements HostPool.Taker {
         @Override
-        public void onConnection(ClientConnection connection, boolean reused) {
+        public void onConnection(LimitedConnection connection, boolean reused) {
             if (mDone) {
                 mPool.release(connection);
             } else {
