An interim response is no answer

The library skips 100 only; 101 to 199 came up as the whole, empty answer of a call, which ended as complete, and the connection could be kept while the real answer was still to come on it. Such a call now ends as lost.

UnpacedResponseTest with status 103 without end, 1 and 40 connections: before, the call ended as Complete (2 of 2 failed); now as Lost (passes).

--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -21,6 +21,8 @@
  * called on any thread.
  */
 public final class OutgoingCall {
+    private static final int FIRST_FINAL_STATUS = 200;
+
     private final HostPool mPool;
     private final Scheduler mScheduler;
     private final OutgoingRequest mRequest;
@@ -201,6 +203,10 @@
         }
         mLastByteNs = mScheduler.monotonicNs();
         ClientResponse response = exchange.getResponse();
+        if (response.getResponseCode() < FIRST_FINAL_STATUS) {
+            fail("an interim response came, status " + response.getResponseCode());
+            return;
+        }
         mListener.onResponse(response.getResponseCode(), response.getResponseHeaders());
         if (mDone) {
             return;
--- a/server/src/test/java/org/amaranthpick/server/http/UnpacedResponseTest.java
+++ b/server/src/test/java/org/amaranthpick/server/http/UnpacedResponseTest.java
@@ -130,6 +130,7 @@
                         "HTTP/1.1 200 OK\r\nX-Noise: |aaaaaaaaaaaaaaaa",
                         "HTTP/1.1 200 OK\r\n|X-Noise: aaaaaaaaaaaaaaaaaaaaaaaa\r\n",
                         "|HTTP/1.1 100 Continue\r\n\r\n",
+                        "|HTTP/1.1 103 Early Hints\r\n\r\n",
                         CHUNKED + "|0000000000000000",
                         CHUNKED + "5;|aaaaaaaaaaaaaaaa",
                         CHUNKED + "0\r\n|X-Noise: aaaaaaaaaaaaaaaaaaaaaaaa\r\n",
