A response that comes without pause leaves other calls their turn

Seen: while a server sent a stream faster than it was read, no other call of the I/O thread began or ended, and no timer (deadlines too) ran: the read loop ends only once the socket is empty. A gateway has one I/O thread.

Now a call reads 64 buffers at most, then goes on 1 ms later. A task that is due at once would not do: the thread runs those before it looks at its connections.

--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -23,6 +23,11 @@
 public final class OutgoingCall {
     private static final int FIRST_FINAL_STATUS = 200;
 
+    /** Reads after which other calls get their turn, and the time until the next turn. */
+    private static final int READS_PER_TURN = 64;
+
+    private static final Duration TURN_BREAK = Duration.ofMillis(1);
+
     private final HostPool mPool;
     private final Scheduler mScheduler;
     private final OutgoingRequest mRequest;
@@ -43,6 +48,7 @@
     private boolean mDone;
     private Cancellable mStepTimer = () -> {};
     private Cancellable mTotalTimer = () -> {};
+    private Cancellable mTurnTimer = () -> {};
 
     OutgoingCall(
             HostPool pool,
@@ -219,7 +225,11 @@
 
     private void read(StreamSourceChannel source) {
         try {
-            while (!mDone && !mPaused) {
+            for (int reads = 0; !mDone && !mPaused; reads++) {
+                if (reads == READS_PER_TURN) {
+                    endTurn(source);
+                    return;
+                }
                 ByteBuffer buffer = HostPool.readBuffer();
                 int count = source.read(buffer);
                 if (count < 0) {
@@ -244,6 +254,13 @@
         }
     }
 
+    /** A task that is due at once would run before the other connections are looked at. */
+    private void endTurn(StreamSourceChannel source) {
+        source.suspendReads();
+        mTurnTimer.cancel();
+        mTurnTimer = after(TURN_BREAK, () -> read(source));
+    }
+
     private void doResume() {
         mPaused = false;
         mLastByteNs = mScheduler.monotonicNs();
@@ -331,6 +348,7 @@
         mDone = true;
         mStepTimer.cancel();
         mTotalTimer.cancel();
+        mTurnTimer.cancel();
         mListener.onEnd(end);
     }
 
--- a/server/src/test/java/org/amaranthpick/server/http/UnpacedResponseTest.java
+++ b/server/src/test/java/org/amaranthpick/server/http/UnpacedResponseTest.java
@@ -1,30 +1,36 @@
 package org.amaranthpick.server.http;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.undertow.util.HeaderMap;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
+import org.amaranthpick.core.gateway.EventStreamSplitter;
 import org.amaranthpick.server.time.IoThreadScheduler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -165,4 +171,50 @@
         long all = mSentBytes.stream().mapToLong(AtomicLong::get).sum();
         assertTrue(most <= MAX_TAKEN_BYTES, "bytes sent: " + most + ", all together " + all);
     }
+
+    private static void awaitAbove(AtomicLong count, long minimum) {
+        long endNs = System.nanoTime() + Duration.ofSeconds(30).toNanos();
+        while (count.get() <= minimum && System.nanoTime() < endNs) {
+            Thread.onSpinWait();
+        }
+        assertTrue(count.get() > minimum);
+    }
+
+    /** The bytes of one server come faster than they are read. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\n\r\n|id: 1\ndata: a\n\n",
+                CHUNKED + "|1\r\na\r\n",
+                CHUNKED + "|10\r\naaaaaaaaaaaaaaaa\r\n",
+                "HTTP/1.1 200 OK\r\nX-Noise: |aaaaaaaaaaaaaaaa"
+            })
+    void otherCallsGoOnWhileAResponseComesWithoutPause(String response) throws Exception {
+        String[] parts = response.split("\\|", -1);
+        try (ServerSocket server = listen();
+                ServerSocket other = listen()) {
+            serve(server, parts[0], parts[1], Long.MAX_VALUE);
+            mConnector.send(request(server), new EventDiscarder());
+            awaitAbove(mSentBytes.get(0), MAX_BODY_BYTES);
+            serve(other, WHOLE, " ", 0);
+            assertEquals(200, await(call(other)).status());
+        }
+    }
+
+    /** Reads a stream of events of which none is new. */
+    private static final class EventDiscarder implements ResponseListener {
+        private final EventStreamSplitter mEvents = new EventStreamSplitter(OptionalLong.of(1));
+
+        @Override
+        public void onResponse(int status, HeaderMap headers) {}
+
+        @Override
+        public void onBytes(ByteBuffer bytes) {
+            mEvents.feed(bytes);
+            mEvents.dropPartial();
+        }
+
+        @Override
+        public void onEnd(CallEnd end) {}
+    }
 }
