Soak: engines that pause, changes of the configuration in series, and requests without an answer

No check in the soak noticed a request that was sent whole and got neither an answer nor a refusal, or a stream that a sound engine's pause broke off; its streams lasted 50 ms.

Faults: ENGINE_PAUSES (one engine, several or the plain service silent for 0.3 to 1.5 s from any byte on, or streams that stand still while the reports name them as stalled; the others may turn requests away), CONFIG_CHANGES (six kinds, every 0.2 to 1 s), TERM_SERIES. FaultScene.PLANNED has these and single stops only, with streams of about 1.2 s. Callers: one each that sends at once, in the same packet, in drips of 1.5 s, and that reads slowly, beside the six usual ones.

Verdict: a request that was sent whole, whose daemon wasn't killed, frozen or in the last sixth of its grace, must get a whole answer. No answer counts if it ran, is in a log, or waited over lossSlackMs (200 ms); a plain answer that ends early counts; a stream that breaks off counts if no fault that breaks streams was felt. In the logs, a request that was sent has one line of its end (log after SIGTERM only with "stop: drained=", none where lines were left out).

The versions of the configuration come from ConfigurationWriter now, with a key of their own as before.

--- a/soak/src/main/java/org/amaranthpick/soak/ConfigurationWatch.java
+++ b/soak/src/main/java/org/amaranthpick/soak/ConfigurationWatch.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.locks.LockSupport;
 import org.amaranthpick.platform.standin.ReceivedResponse;
 import org.amaranthpick.platform.standin.StandInCaller;
-import org.amaranthpick.platform.standin.StandInPlatform;
 
 /**
  * Writes new versions of the configuration, each with a key that no other version holds, and sees
@@ -26,7 +25,6 @@
     private final List<String> mIds = new CopyOnWriteArrayList<>();
     private final Map<DaemonProcess, Seen> mSeen = new HashMap<>();
     private volatile boolean mStopped;
-    private long mVersion = 1;
     private int mAsked;
 
     /** Newest version that an incarnation of a daemon has shown. */
@@ -53,28 +51,21 @@
     public void run() {
         for (int step = 0; !mStopped; step++) {
             if (step % STEPS_A_VERSION == 0) {
-                mVersion++;
-                String next =
-                        StandInPlatform.configurationJson(mVersion)
-                                .replace("\"key-1\"", "\"key-1\",\"" + key(mVersion) + "\"");
-                mSite.platform().store().put("config", "main", next);
+                mSite.configuration().write();
             }
             mSite.daemons().forEach(this::probe);
             LockSupport.parkNanos(PERIOD.toNanos());
         }
     }
 
-    private static String key(long version) {
-        return "of-version-" + version;
-    }
-
     private void probe(DaemonProcess daemon) {
         int incarnation = daemon.incarnation();
-        if (accepts(daemon, mVersion)) {
-            note(daemon, incarnation, mVersion);
+        long newest = mSite.configuration().version();
+        if (accepts(daemon, newest)) {
+            note(daemon, incarnation, newest);
         }
-        if (mVersion > 2 && accepts(daemon, mVersion - 1)) {
-            note(daemon, incarnation, mVersion - 1);
+        if (newest > 2 && accepts(daemon, newest - 1)) {
+            note(daemon, incarnation, newest - 1);
         }
     }
 
@@ -94,7 +85,8 @@
         String id = "v" + mAsked++;
         mIds.add(id);
         try (StandInCaller caller = new StandInCaller(daemon.callers(), PATIENCE)) {
-            ReceivedResponse answer = caller.send("GET", "/get/x", id, key(version), PATIENCE);
+            ReceivedResponse answer =
+                    caller.send("GET", "/get/x", id, ConfigurationWriter.key(version), PATIENCE);
             return answer.status() != 0 && answer.status() != UNAUTHORIZED && answer.isSuccess();
         } catch (IOException e) {
             return false;
--- a/soak/src/main/java/org/amaranthpick/soak/DaemonProcess.java
+++ b/soak/src/main/java/org/amaranthpick/soak/DaemonProcess.java
@@ -6,6 +6,7 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.amaranthpick.platform.PlatformMain;
@@ -21,8 +22,11 @@
     private final URI mCallers;
     private final URI mReadiness;
     private final Object mRestart = new Object();
+    private final DaemonHarms mHarms = new DaemonHarms();
+    private final List<DaemonLog.Incarnation> mIncarnations = new ArrayList<>();
     private Process mProcess;
     private int mIncarnation;
+    private int mOwnEnds;
 
     DaemonProcess(Path settings, Path log, URI callers, URI readiness) {
         mSettings = settings;
@@ -64,12 +68,29 @@
         builder.environment().put(SETTINGS_VARIABLE, mSettings.toString());
         File log = Files.createDirectories(mLog.getParent()).resolve(mLog).toFile();
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+        mIncarnations.add(new DaemonLog.Incarnation(log.length(), DaemonLog.End.NONE));
         mProcess = builder.start();
     }
 
+    /** Returns whether it was killed, stood still or came to the end of its grace since a time. */
+    boolean harmedSince(long ns) {
+        return mHarms.anySince(ns);
+    }
+
+    /** Returns how often it ended though nobody told it to. */
+    synchronized int ownEnds() {
+        return mOwnEnds + (alive() ? 0 : 1);
+    }
+
+    /** Reads what its incarnations logged. */
+    synchronized DaemonLog log() throws IOException {
+        return DaemonLog.read(mLog, mIncarnations);
+    }
+
     /** Lets this process stand still, or go on. */
     synchronized void freeze(boolean still) throws IOException, InterruptedException {
         if (alive()) {
+            mHarms.onFreeze(still);
             String signal = still ? "-STOP" : "-CONT";
             new ProcessBuilder("kill", signal, Long.toString(mProcess.pid()))
                     .redirectErrorStream(true)
@@ -90,12 +111,23 @@
             if (!process.waitFor(EXIT_S, TimeUnit.SECONDS)) {
                 throw new IllegalStateException(mCallers + " did not end within " + EXIT_S + " s");
             }
+            mHarms.onEnded();
+            sLogger.atInfo().log("daemon %s: ended, starts again", mCallers);
             start();
         }
     }
 
     /** A frozen process takes no signal to stop, so it goes on. */
     private synchronized Process end(boolean gently) throws IOException, InterruptedException {
+        int last = mIncarnations.size() - 1;
+        if (alive()) {
+            DaemonLog.End end = gently ? DaemonLog.End.STOPPED : DaemonLog.End.KILLED;
+            mIncarnations.set(last, new DaemonLog.Incarnation(mIncarnations.get(last).from(), end));
+        } else {
+            mOwnEnds++;
+        }
+        sLogger.atInfo().log("daemon %s: end gently=%s", mCallers, gently);
+        mHarms.onEnding(gently);
         if (gently) {
             mProcess.destroy();
         } else {
--- a/soak/src/main/java/org/amaranthpick/soak/FaultKind.java
+++ b/soak/src/main/java/org/amaranthpick/soak/FaultKind.java
@@ -27,5 +27,11 @@
     /** Streams of a model engine break off. */
     STREAM_BREAKS,
     /** The plain service refuses, resets or fails for a while. */
-    SERVICE_FAULT
+    SERVICE_FAULT,
+    /** Engines, or the plain service, fall silent at some byte of their answers and go on. */
+    ENGINE_PAUSES,
+    /** The configuration changes several times in a row. */
+    CONFIG_CHANGES,
+    /** One daemon after another is told to stop, and started again once it has ended. */
+    TERM_SERIES
 }
--- a/soak/src/main/java/org/amaranthpick/soak/FaultPlan.java
+++ b/soak/src/main/java/org/amaranthpick/soak/FaultPlan.java
@@ -17,24 +17,29 @@
     /**
      * Draws a plan.
      *
+     * @param scene kinds of faults
      * @param seed seed
      * @param length time in which faults begin
-     * @param count number of faults
+     * @param count number of faults that are drawn
      * @return faults in order of their start
      */
-    static List<PlannedFault> draw(long seed, Duration length, int count) {
+    static List<PlannedFault> draw(FaultScene scene, long seed, Duration length, int count) {
         SplittableRandom random = new SplittableRandom(seed);
-        FaultKind[] kinds = FaultKind.values();
+        List<FaultKind> kinds = scene.drawn();
         List<PlannedFault> faults = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            faults.add(
-                    new PlannedFault(
-                            kinds[random.nextInt(kinds.length)],
-                            random.nextInt(MOST_TARGETS),
-                            Duration.ofMillis(random.nextLong(length.toMillis())),
-                            Duration.ofMillis(random.nextInt(SHORTEST_MS, LONGEST_MS))));
+            faults.add(fault(kinds.get(random.nextInt(kinds.size())), length, random));
         }
+        scene.always().forEach(kind -> faults.add(fault(kind, Duration.ofMillis(1), random)));
         faults.sort(Comparator.comparing(PlannedFault::at));
         return faults;
     }
+
+    private static PlannedFault fault(FaultKind kind, Duration length, SplittableRandom random) {
+        return new PlannedFault(
+                kind,
+                random.nextInt(MOST_TARGETS),
+                Duration.ofMillis(random.nextLong(length.toMillis())),
+                Duration.ofMillis(random.nextInt(SHORTEST_MS, LONGEST_MS)));
+    }
 }
--- a/soak/src/main/java/org/amaranthpick/soak/FaultPlayer.java
+++ b/soak/src/main/java/org/amaranthpick/soak/FaultPlayer.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,8 @@
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final long END_S = 30;
     private static final int STORE_CALLS = 6;
+    private static final int SHORTEST_CHANGE_MS = 200;
+    private static final int LONGEST_CHANGE_MS = 1000;
     private static final List<EngineStandIn.Fault> SERVICE_FAULTS =
             List.of(
                     EngineStandIn.Fault.SHED,
@@ -49,8 +52,15 @@
 
     private void playLogged(PlannedFault fault) {
         sLogger.atFine().log("fault: %s", fault);
+        boolean disturbs = FaultScene.mayBreakStreams(fault.kind());
+        if (disturbs) {
+            mSite.disturbances().begin();
+        }
         try {
             play(fault);
+            if (disturbs && fault.kind() != FaultKind.STREAM_BREAKS) {
+                mSite.disturbances().end();
+            }
         } catch (IOException e) {
             throw new IllegalStateException("fault " + fault + " cannot be played", e);
         } catch (InterruptedException e) {
@@ -90,6 +100,13 @@
             case STREAM_BREAKS ->
                     platform.engine(target % SoakSite.ENGINES)
                             .breakNextStreamAfter(target % SERVICE_FAULTS.size());
+            case ENGINE_PAUSES -> EnginePause.of(fault).play(mSite);
+            case CONFIG_CHANGES -> changeConfiguration(fault);
+            case TERM_SERIES -> {
+                for (int i = 0; i < SoakSite.DAEMONS; i++) {
+                    mSite.daemon(target + i).restart(true);
+                }
+            }
             default -> {
                 // SERVICE_FAULT, the last of the kinds.
                 platform.service().setFault(SERVICE_FAULTS.get(target % SERVICE_FAULTS.size()));
@@ -99,6 +116,16 @@
         }
     }
 
+    /** Makes changes of all kinds, beginning with that of the target, every 0.2 to 1 s. */
+    private void changeConfiguration(PlannedFault fault) {
+        ConfigurationChange[] kinds = ConfigurationChange.values();
+        SplittableRandom random = new SplittableRandom(fault.target());
+        for (int i = 0; i < kinds.length; i++) {
+            mSite.configuration().toggle(kinds[(fault.target() + i) % kinds.length]);
+            pause(Duration.ofMillis(random.nextInt(SHORTEST_CHANGE_MS, LONGEST_CHANGE_MS)));
+        }
+    }
+
     private void harm(PlannedFault fault, LinkHarm harm) {
         LoopbackProxy link = mSite.link(fault.target());
         link.harm(harm);
--- a/soak/src/main/java/org/amaranthpick/soak/LoopbackProxy.java
+++ b/soak/src/main/java/org/amaranthpick/soak/LoopbackProxy.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
 /** Forwards TCP connections on loopback, and harms them on command. */
@@ -25,6 +26,8 @@
     private final String mTargetHost;
     private final int mTargetPort;
     private final Set<Link> mLinks = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger mHolds = new AtomicInteger();
+    private volatile int mBytesBeforeHold;
     private volatile LinkHarm mHarm = LinkHarm.NONE;
 
     /**
@@ -55,6 +58,17 @@
         }
     }
 
+    /** Holds what comes back after this many more bytes of each connection, until released. */
+    void holdAfter(int bytes) {
+        mBytesBeforeHold = bytes;
+        mHolds.incrementAndGet();
+    }
+
+    /** Ends one hold. */
+    void release() {
+        mHolds.decrementAndGet();
+    }
+
     private void accept() {
         while (!mListener.isClosed()) {
             try {
@@ -105,6 +119,7 @@
         private final Socket mNear;
         private final Socket mFar;
         private volatile boolean mSpoiled;
+        private int mSinceHold;
 
         Link(Socket near, Socket far) {
             mNear = near;
@@ -117,8 +132,13 @@
                 InputStream in = from.getInputStream();
                 OutputStream out = to.getOutputStream();
                 for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
-                    if (passes(back)) {
-                        out.write(buffer, 0, n);
+                    int first = back ? bytesBeforeHold(n) : n;
+                    if (first > 0 && passes(back)) {
+                        out.write(buffer, 0, first);
+                    }
+                    awaitRelease(back);
+                    if (first < n && passes(back)) {
+                        out.write(buffer, first, n - first);
                     }
                 }
                 to.shutdownOutput();
@@ -130,6 +150,22 @@
             }
         }
 
+        private int bytesBeforeHold(int n) {
+            if (mHolds.get() == 0) {
+                mSinceHold = 0;
+                return n;
+            }
+            int first = Math.min(n, Math.max(0, mBytesBeforeHold - mSinceHold));
+            mSinceHold += first;
+            return first;
+        }
+
+        private void awaitRelease(boolean back) {
+            while (back && mHolds.get() > 0 && mSinceHold >= mBytesBeforeHold) {
+                LockSupport.parkNanos(HOLD_STEP_NS);
+            }
+        }
+
         /** Waits as the harm in force says; false if the bytes are lost. */
         private boolean passes(boolean back) {
             if (mHarm == LinkHarm.DELAY) {
--- a/soak/src/main/java/org/amaranthpick/soak/SoakMain.java
+++ b/soak/src/main/java/org/amaranthpick/soak/SoakMain.java
@@ -15,6 +15,11 @@
 /** Plays seeds of the fault soak. */
 @Command(name = "soak", description = "Play daemons as processes under overlapping faults")
 public final class SoakMain {
+    @Option(
+            name = "--scene",
+            description = "Kinds of faults: ALL, or PLANNED for planned work and pauses.")
+    private FaultScene mScene = FaultScene.ALL;
+
     @Option(name = "--first", description = "First seed. Default: 1.")
     private long mFirst = 1;
 
@@ -51,6 +56,7 @@
         for (long seed = mFirst; seed < mFirst + mSeeds; seed++) {
             SoakRun run =
                     new SoakRun(
+                            mScene,
                             seed,
                             Path.of(mDirectory, "seed-" + seed),
                             Duration.ofSeconds(mSeconds),
--- a/soak/src/main/java/org/amaranthpick/soak/SoakRun.java
+++ b/soak/src/main/java/org/amaranthpick/soak/SoakRun.java
@@ -4,8 +4,11 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.locks.LockSupport;
 import org.amaranthpick.platform.standin.ReceivedResponse;
@@ -15,7 +18,9 @@
  * healed and every daemon must serve again. Callers ask all the while.
  */
 public final class SoakRun {
-    private static final int CALLERS = 6;
+    private static final int USUAL_CALLERS = 6;
+    private static final Duration DEADLINE = Duration.ofSeconds(4);
+    private static final Duration PLANNED_DEADLINE = Duration.ofSeconds(7);
     private static final Duration TO_READY = Duration.ofSeconds(25);
 
     /** Time in which daemons serve again once the faults are over. */
@@ -28,6 +33,7 @@
     /** Start of the ids of the requests that show recovery, which are not judged. */
     private static final String RECOVERY_ID = "recovered-";
 
+    private final FaultScene mScene;
     private final long mSeed;
     private final Path mDirectory;
     private final Duration mFaults;
@@ -38,12 +44,14 @@
     /**
      * Creates a run.
      *
+     * @param scene kinds of faults
      * @param seed seed of the plan and the callers
      * @param directory directory for settings and logs
      * @param faults time in which faults begin
      * @param count number of faults
      */
-    public SoakRun(long seed, Path directory, Duration faults, int count) {
+    public SoakRun(FaultScene scene, long seed, Path directory, Duration faults, int count) {
+        mScene = scene;
         mSeed = seed;
         mDirectory = directory;
         mFaults = faults;
@@ -58,13 +66,21 @@
      * @throws InterruptedException if interrupted
      */
     public SoakResult play() throws IOException, InterruptedException {
-        try (SoakSite site = new SoakSite(mSeed, mDirectory)) {
+        try (SoakSite site = new SoakSite(mSeed, mDirectory, mScene.events())) {
             awaitReady(site, TO_READY, "start");
             SplittableRandom random = new SplittableRandom(mSeed);
             List<CallerLoop> callers = new ArrayList<>();
             List<Thread> threads = new ArrayList<>();
-            for (int i = 0; i < CALLERS; i++) {
-                CallerLoop caller = new CallerLoop(site, i, random.split(), () -> mCalm);
+            List<CallerHabit> habits = habits();
+            for (int i = 0; i < habits.size(); i++) {
+                CallerLoop caller =
+                        new CallerLoop(
+                                site,
+                                i,
+                                habits.get(i),
+                                mScene == FaultScene.PLANNED ? PLANNED_DEADLINE : DEADLINE,
+                                random.split(),
+                                () -> mCalm);
                 callers.add(caller);
                 threads.add(new Thread(caller, "caller-" + i));
             }
@@ -82,12 +98,24 @@
         }
     }
 
+    /** The usual callers first, then one of each other habit. */
+    private static List<CallerHabit> habits() {
+        List<CallerHabit> habits =
+                new ArrayList<>(Collections.nCopies(USUAL_CALLERS, CallerHabit.USUAL));
+        for (CallerHabit habit : CallerHabit.values()) {
+            if (habit != CallerHabit.USUAL) {
+                habits.add(habit);
+            }
+        }
+        return habits;
+    }
+
     private void playFaults(SoakSite site) throws IOException, InterruptedException {
         LockSupport.parkNanos(CALM.toNanos());
         site.daemon((int) (mSeed % SoakSite.DAEMONS)).restart(true);
         awaitReady(site, TO_READY, "return of a host that left");
         mCalm = false;
-        new FaultPlayer(site).play(FaultPlan.draw(mSeed, mFaults, mCount));
+        new FaultPlayer(site).play(FaultPlan.draw(mScene, mSeed, mFaults, mCount));
         site.heal();
         awaitReady(site, RECOVERY, "end of the faults");
         awaitService(site);
@@ -121,13 +149,23 @@
         }
     }
 
-    private SoakResult judge(SoakSite site, List<CallerLoop> callers, ConfigurationWatch watch) {
+    private SoakResult judge(SoakSite site, List<CallerLoop> callers, ConfigurationWatch watch)
+            throws IOException {
+        Set<String> logged = new HashSet<>();
+        for (DaemonProcess daemon : site.daemons()) {
+            DaemonLog log = daemon.log();
+            logged.addAll(log.ids());
+            mBroken.addAll(log.broken());
+            if (daemon.ownEnds() > 0) {
+                mBroken.add(daemon.callers() + " ended by itself");
+            }
+        }
         List<CallRecord> calls = new ArrayList<>();
         callers.forEach(caller -> calls.addAll(caller.calls()));
         Map<String, Integer> runs = site.runs();
         runs.keySet().removeIf(id -> id.startsWith(RECOVERY_ID));
         watch.ids().forEach(runs::remove);
-        mBroken.addAll(PromiseCheck.broken(calls, runs));
+        mBroken.addAll(new PromiseCheck(mScene.events(), logged).broken(calls, runs));
         mBroken.addAll(watch.broken());
         return new SoakResult(
                 mSeed,
--- a/soak/src/main/java/org/amaranthpick/soak/SoakSite.java
+++ b/soak/src/main/java/org/amaranthpick/soak/SoakSite.java
@@ -23,6 +23,9 @@
     static final int DAEMONS = 3;
     static final int ENGINES = 3;
 
+    /** Time from the signal to stop to the end of a daemon. */
+    static final int GRACE_S = 8;
+
     /** Loopback numbers are shared by the sites of one run of the program. */
     private static final int NUMBERS = 250;
 
@@ -31,17 +34,24 @@
     private final Map<String, LoopbackProxy> mProxies = new HashMap<>();
     private final List<LoopbackProxy> mLinks = new ArrayList<>();
     private final List<DaemonProcess> mDaemons = new ArrayList<>();
+    private final Disturbances mDisturbances = new Disturbances();
     private final StandInPlatform mPlatform;
+    private final ConfigurationWriter mConfiguration;
 
     /**
      * Starts the stand-ins and the daemons.
      *
      * @param seed seed, which also numbers the loopback addresses
      * @param directory directory for settings and logs
+     * @param events events of a whole stream
      * @throws IOException if a file, a socket or a process cannot be made
      */
-    SoakSite(long seed, Path directory) throws IOException {
+    SoakSite(long seed, Path directory, int events) throws IOException {
         mPlatform = new StandInPlatform(ENGINES, true, this::published);
+        mConfiguration = new ConfigurationWriter(mPlatform.store());
+        for (int i = 0; i < ENGINES; i++) {
+            mPlatform.engine(i).setEventCount(events);
+        }
         mLinks.addAll(mProxies.values());
         for (int i = 0; i < DAEMONS; i++) {
             LoopbackProxy store = new LoopbackProxy(mPlatform.store().address());
@@ -82,13 +92,14 @@
                         Locale.ROOT,
                         "{\"node\":\"host-%d\",\"zone\":\"z\",\"ip\":\"%s\",\"listen\":{\"front\":\"%s\","
                                 + "\"ready\":\"%s\"},\"platform\":{\"address\":\"%s\"},\"bounds\":"
-                                + "{\"graceS\":8,\"retryBudgetRatio\":0.2,\"retryBudgetExtra\":400,"
+                                + "{\"graceS\":%d,\"retryBudgetRatio\":0.2,\"retryBudgetExtra\":400,"
                                 + "\"budgetWindowS\":10}}",
                         index,
                         ip,
                         callers,
                         readiness,
-                        store.address());
+                        store.address(),
+                        GRACE_S);
         Path file = Files.createDirectories(directory).resolve("host-" + index + ".json");
         Files.writeString(file, settings);
         return new DaemonProcess(
@@ -116,6 +127,19 @@
         return mLinks.get(target % mLinks.size());
     }
 
+    /** Returns the proxy in front of an upstream. */
+    LoopbackProxy linkOf(EngineStandIn upstream) {
+        return mProxies.get(upstream.address());
+    }
+
+    Disturbances disturbances() {
+        return mDisturbances;
+    }
+
+    ConfigurationWriter configuration() {
+        return mConfiguration;
+    }
+
     StandInPlatform platform() {
         return mPlatform;
     }
@@ -142,6 +166,7 @@
         mLinks.forEach(link -> link.harm(LinkHarm.NONE));
         mPlatform.service().setFault(EngineStandIn.Fault.NONE);
         for (int i = 0; i < ENGINES; i++) {
+            mPlatform.engine(i).setFault(EngineStandIn.Fault.NONE);
             mPlatform.registerEngine(i, "ready", StandInPlatform.LAYERS);
         }
     }
--- a/soak/src/test/java/org/amaranthpick/soak/SoakTest.java
+++ b/soak/src/test/java/org/amaranthpick/soak/SoakTest.java
@@ -19,7 +19,7 @@
     @ValueSource(longs = {1, 2})
     void noPromiseIsBroken(long seed) throws IOException, InterruptedException {
         SoakResult result =
-                new SoakRun(seed, Path.of("target", "soak", "test-" + seed), FAULTS, COUNT).play();
+                new SoakRun(FaultScene.ALL, seed, Path.of("target", "soak", "test-" + seed), FAULTS, COUNT).play();
         assertEquals(List.of(), result.broken(), result.report());
         assertTrue(result.answered() > 0, result.report());
     }
