Requests of a stopping host get their true ends before it exits

Callers of a host that was told to stop got no answer at the end of its grace: the process exited with their requests in progress, among them requests that may not be repeated. It exited early, too, in the middle of what it did not count: bodies being read, answers not yet written out, relayed requests and their responses.

StopSequence holds the phases of a stop, all derived from the grace: readiness is withdrawn; after the balancer's lag (2.5 s) requests are refused; 0.5 s before the end of the grace each request in progress gets its end (503 if it was not sent, 502 if it may have run, a stream is broken off, the other daemon of a relayed request gets 'lost' or 'not sent'); the process exits when every exchange is through and a check later still is, or with the grace. OpenExchanges counts exchanges from the head of the request to the last byte of the response. Upstreams get no more time than the grace has left. A request that may run only once and is read after the signal is refused if its latency objective lies behind the end: its caller can repeat it after a refusal, not after an interruption. Requests from before the signal announce that their connection closes, which only those after it did. Nothing changes between daemons: the results of a relay are those it had.

--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -92,7 +92,9 @@
         mDisconnectDetector = DisconnectDetector.start(mExchange, this::onCallerDisconnected);
         mDeadlineTimer =
                 mContext.scheduler()
-                        .schedule(remainingTime().minus(RESPONSE_MARGIN), this::onDeadline);
+                        .schedule(
+                                remainingTime().minus(RESPONSE_MARGIN),
+                                () -> giveUp("deadline exceeded"));
         mContext.retryBudgets().forService(mRequest.service().name()).onRequest(nowNs());
         if (!mCrashGuard.admits()) {
             fail(QUARANTINED);
@@ -128,7 +130,7 @@
         UpstreamRequestMetadata metadata =
                 new UpstreamRequestMetadata(
                         target,
-                        mRequest.metadata().deadline().map(deadline -> deadline.minus(elapsed())),
+                        mContext.stop().limit(mRequest.metadata().deadline(), elapsed()),
                         mRequest.workspace(),
                         mRequest.priority(),
                         mAttempts.lastEventId());
@@ -377,10 +379,11 @@
         failOver(reason);
     }
 
-    private void onDeadline() {
+    /** Ends the request with what its caller may know now. */
+    void giveUp(String reason) {
         if (!mEnded) {
             mAttempts.cancel();
-            fail("deadline exceeded");
+            fail(reason);
         }
     }
 
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -9,7 +9,8 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
@@ -52,11 +53,6 @@
     private static final String QUARANTINE_PATH = "/quarantine";
     private static final Duration CONTROL_PERIOD = Duration.ofMillis(250);
 
-    /** Time for which the load balancer may still send connections after readiness is withdrawn. */
-    private static final Duration BALANCER_LAG = Duration.ofMillis(2500);
-
-    private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(100);
-
     private static final String LEASE_NAME = "layers";
 
     private final GatewaySettings mSettings;
@@ -64,6 +60,7 @@
     private final BodyMemory mBodyMemory = BodyMemory.ofHeap(Runtime.getRuntime().maxMemory());
     private final XnioWorker mWorker;
     private final GatewayListeners mListeners;
+    private final StopSequence mStop;
     private final IoThreadScheduler mScheduler;
     private final ConfigurationFollower mConfiguration;
     private final RegisterFollower mRegisterFollower;
@@ -113,6 +110,7 @@
         mSettings = settings;
         mWorker = worker;
         mScheduler = scheduler;
+        mStop = new StopSequence(scheduler, settings.shutdownGrace());
         mListeners = new GatewayListeners(worker);
         mRandom = random;
         UpstreamRegister register = new UpstreamRegister();
@@ -288,7 +286,8 @@
                 new CrashDetector(engines, quarantine, mScheduler),
                 new RetryBudgets(mSettings, mDaemonCounter::count),
                 mMetrics,
-                mRandom);
+                mRandom,
+                mStop);
     }
 
     private LeaseContext leaseContext(
@@ -349,44 +348,31 @@
         return messages;
     }
 
-    /**
-     * Withdraws readiness, serves on for {@link #BALANCER_LAG}, then refuses further requests.
-     * Returns once the requests in progress have finished or the shutdown grace has passed.
-     */
+    /** Stops serving; returns when the {@link StopSequence} has ended. */
     public void drain() {
-        CountDownLatch done = new CountDownLatch(1);
-        mScheduler.execute(
-                () -> {
-                    sLogger.atInfo().log("stop: draining in_progress=%d", mHandler.inProgress());
-                    mDraining = true;
-                    mHandler.drain();
-                    mReach.drain();
-                    mLease.release();
-                    long startNs = mScheduler.monotonicNs();
-                    mScheduler.schedule(
-                            BALANCER_LAG,
-                            () -> {
-                                mHandler.close();
-                                checkDrained(startNs, done);
-                            });
-                });
+        CompletableFuture<Boolean> drained = new CompletableFuture<>();
+        mScheduler.execute(() -> mStop.start(stopSteps(), drained::complete));
         try {
-            boolean drained =
-                    done.await(mSettings.shutdownGrace().toMillis(), TimeUnit.MILLISECONDS);
-            sLogger.atInfo().log("stop: drained=%s", drained);
+            Duration grace = mSettings.shutdownGrace();
+            boolean complete =
+                    drained.completeOnTimeout(false, grace.toMillis(), TimeUnit.MILLISECONDS).get();
+            sLogger.atInfo().log("stop: drained=%s", complete);
+        } catch (ExecutionException e) {
+            sLogger.atSevere().withCause(e).log("stop: failed");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private void checkDrained(long startNs, CountDownLatch done) {
-        Duration elapsed = Duration.ofNanos(mScheduler.monotonicNs() - startNs);
-        int inProgress = mHandler.inProgress() + mReach.relayed();
-        if (inProgress == 0 || elapsed.compareTo(mSettings.shutdownGrace()) > 0) {
-            done.countDown();
-        } else {
-            mScheduler.schedule(DRAIN_CHECK_PERIOD, () -> checkDrained(startNs, done));
-        }
+    private StopSequence.Steps stopSteps() {
+        return new StopSteps(
+                mHandler,
+                mReach,
+                mListeners,
+                () -> {
+                    mDraining = true;
+                    mLease.release();
+                });
     }
 
     /** Writes again what this daemon has in the store, which came back from a copy. */
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
@@ -32,6 +32,7 @@
  * @param retryBudgets retry budget of each service
  * @param metrics counters and histograms
  * @param random random source
+ * @param stop planned stop of this daemon
  */
 record GatewayContext(
         String host,
@@ -50,4 +51,5 @@
         CrashDetector crashes,
         RetryBudgets retryBudgets,
         GatewayMetrics metrics,
-        RandomGenerator random) {}
+        RandomGenerator random,
+        StopSequence stop) {}
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
@@ -4,6 +4,7 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
@@ -32,6 +33,7 @@
     private final BodyMemory mBodyMemory;
     private final Set<ServerConnection> mIdleConnections = new HashSet<>();
     private final Set<ForwardedExchange> mInProgress = new HashSet<>();
+    private final OpenExchanges mOpen = new OpenExchanges();
     private boolean mDraining;
     private boolean mRefusing;
 
@@ -49,20 +51,41 @@
     /** Starts draining: closes each connection after its next response. */
     void drain() {
         mDraining = true;
+        mOpen.closeAfterResponses();
     }
 
-    /**
-     * Refuses further requests and closes idle connections. A request that was in transit when its
-     * connection closed has not been read, so its caller can safely send it to another daemon.
-     */
+    /** Refuses further requests and closes idle connections. */
     void close() {
         mRefusing = true;
-        Set.copyOf(mIdleConnections).forEach(IoUtils::safeClose);
-        mIdleConnections.clear();
+        closeIdle();
+    }
+
+    /**
+     * Closes idle connections, after reading what has arrived on them. A request that was in
+     * transit when its connection closed has not been read, so its caller can safely send it to
+     * another daemon.
+     */
+    void closeIdle() {
+        for (ServerConnection connection : Set.copyOf(mIdleConnections)) {
+            ((HttpServerConnection) connection).getChannel().getSourceChannel().wakeupReads();
+            connection.getIoThread().execute(() -> closeIfIdle(connection));
+        }
+    }
+
+    private void closeIfIdle(ServerConnection connection) {
+        if (mIdleConnections.remove(connection)) {
+            IoUtils.safeClose(connection);
+        }
+    }
+
+    /** Ends the requests in progress before the grace is over. */
+    void interrupt() {
+        Set.copyOf(mInProgress).forEach(exchange -> exchange.giveUp("the host stops"));
     }
 
-    int inProgress() {
-        return mInProgress.size();
+    /** Returns the number of requests that are being read, served or answered. */
+    int openCount() {
+        return mOpen.count();
     }
 
     @Override
@@ -87,6 +110,7 @@
         if (mDraining) {
             exchange.setPersistent(false);
         }
+        mOpen.add(exchange);
         ServerConnection connection = exchange.getConnection();
         if (!mIdleConnections.remove(connection)) {
             connection.addCloseListener(mIdleConnections::remove);
@@ -199,6 +223,10 @@
         exchange.dispatch(
                 mContext.scheduler(),
                 () -> {
+                    if (!mContext.stop().admits(request.route())) {
+                        refuseForStop(exchange, request);
+                        return;
+                    }
                     ForwardedExchange forwarded =
                             new ForwardedExchange(exchange, request, mContext, mResponses, this);
                     mInProgress.add(forwarded);
@@ -206,6 +234,13 @@
                 });
     }
 
+    private void refuseForStop(HttpServerExchange exchange, ForwardedRequest request) {
+        String id = request.metadata().requestId();
+        sLogger.atInfo().log(
+                "request: id=%s outcome=refused detail=\"the host stops before its time\"", id);
+        mResponses.sendNotRun(exchange, id, request.timeLimit(), Optional.empty());
+    }
+
     @Override
     public void onEnded(ForwardedExchange exchange) {
         mInProgress.remove(exchange);
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayListeners.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayListeners.java
@@ -61,5 +61,6 @@
     @Override
     public void close() {
         mStarted.forEach(Undertow::stop);
+        mStarted.clear();
     }
 }
--- a/server/src/main/java/org/amaranthpick/server/gateway/RelayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayHandler.java
@@ -11,9 +11,11 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.amaranthpick.core.reach.RelayAdmission;
 import org.amaranthpick.core.reach.RelayReply;
 import org.amaranthpick.core.reach.RelayRequest;
@@ -46,8 +48,11 @@
     private final RelayAdmission mAdmission;
     private final SecureRandom mPathNames = new SecureRandom();
     private final Map<String, HeldConnection> mHeld = new HashMap<>();
+    private final OpenExchanges mOpen = new OpenExchanges();
+    private final Set<RelayedExchange> mRelayed = new HashSet<>();
     private int mOpening;
     private int mInProgress;
+    private boolean mInterrupted;
     private boolean mLeaving;
 
     private record HeldConnection(
@@ -64,8 +69,16 @@
         mLeaving = true;
     }
 
-    int inProgress() {
-        return mInProgress + mHeld.size();
+    /** Ends what is in progress, each with a result that the other daemon can rely on. */
+    void interrupt() {
+        mInterrupted = true;
+        Set.copyOf(mHeld.keySet()).forEach(this::expire);
+        Set.copyOf(mRelayed).forEach(RelayedExchange::interrupt);
+    }
+
+    /** Returns the number of requests and held connections whose responses are not written. */
+    int openCount() {
+        return mOpen.count() + mHeld.size();
     }
 
     /** Returns whether a request is to be relayed rather than handled here. */
@@ -80,6 +93,7 @@
             refuseStranger(exchange);
             return;
         }
+        mOpen.add(exchange);
         exchange.setMaxEntitySize(MAX_MESSAGE_BYTES);
         readBody(exchange, body -> open(exchange, body));
     }
@@ -90,6 +104,7 @@
             refuseStranger(exchange);
             return;
         }
+        mOpen.add(exchange);
         String path = exchange.getRequestHeaders().getFirst(UpstreamConnector.PATH_HEADER);
         HeldConnection held = mHeld.remove(path);
         if (held == null) {
@@ -127,12 +142,18 @@
     }
 
     private void send(HttpServerExchange exchange, HeldConnection held, byte[] body) {
-        new RelayedExchange(exchange, held.upstream(), mContext, this::onEnded)
-                .start(mConnector, held.connection(), body);
+        if (mInterrupted) {
+            dropUnsent(exchange, held);
+            return;
+        }
+        RelayedExchange relayed =
+                new RelayedExchange(exchange, held.upstream(), mContext, this::onEnded);
+        mRelayed.add(relayed);
+        relayed.start(mConnector, held.connection(), body);
     }
 
     private void dropUnsent(HttpServerExchange exchange, HeldConnection held) {
-        onEnded();
+        mInProgress--;
         held.connection().close();
         endUnsent(exchange);
     }
@@ -143,7 +164,8 @@
         end(exchange, StatusCodes.SERVICE_UNAVAILABLE);
     }
 
-    private void onEnded() {
+    private void onEnded(RelayedExchange exchange) {
+        mRelayed.remove(exchange);
         mInProgress--;
     }
 
--- a/server/src/main/java/org/amaranthpick/server/gateway/RelayedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayedExchange.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.amaranthpick.core.register.UpstreamEntry;
 import org.amaranthpick.server.http.CallEnd;
 import org.amaranthpick.server.http.HttpConnector;
@@ -36,11 +37,12 @@
     private final HttpServerExchange mExchange;
     private final UpstreamEntry mUpstream;
     private final RelayContext mContext;
-    private final Runnable mOnEnded;
+    private final Consumer<RelayedExchange> mOnEnded;
     private final CallerResponseWriter mWriter;
     private DisconnectDetector mDisconnectDetector;
     private OutgoingCall mCall;
     private Optional<Runnable> mWithoutBody = Optional.empty();
+    private boolean mSending;
     private boolean mHeadSent;
     private boolean mEnded;
 
@@ -48,7 +50,7 @@
             HttpServerExchange exchange,
             UpstreamEntry upstream,
             RelayContext context,
-            Runnable onEnded) {
+            Consumer<RelayedExchange> onEnded) {
         mExchange = exchange;
         mUpstream = upstream;
         mContext = context;
@@ -91,6 +93,11 @@
         return headers;
     }
 
+    @Override
+    public void onSending() {
+        mSending = true;
+    }
+
     @Override
     public void onResponse(int status, HeaderMap headers) {
         if (mEnded) {
@@ -129,10 +136,24 @@
         end(callEnd.toString());
         if (callEnd instanceof CallEnd.Complete) {
             mWithoutBody.orElse(mWriter::finish).run();
-        } else if (mHeadSent) {
+        } else {
+            endWithoutResponse(callEnd instanceof CallEnd.NotSent);
+        }
+    }
+
+    /** Ends the request, whose upstream is at work, because this daemon stops. */
+    void interrupt() {
+        if (!mEnded) {
+            end("the host stops");
+            mCall.cancel();
+            endWithoutResponse(!mSending);
+        }
+    }
+
+    private void endWithoutResponse(boolean unsent) {
+        if (mHeadSent) {
             mWriter.abort();
         } else {
-            boolean unsent = callEnd instanceof CallEnd.NotSent;
             mExchange.setStatusCode(
                     unsent ? StatusCodes.SERVICE_UNAVAILABLE : StatusCodes.BAD_GATEWAY);
             mExchange
@@ -160,6 +181,6 @@
         sLogger.atInfo().log(
                 "relay: upstream=%s peer=%s detail=\"%s\"",
                 mUpstream.id(), mExchange.getSourceAddress(), detail);
-        mOnEnded.run();
+        mOnEnded.accept(this);
     }
 }
--- /dev/null
+++ b/server/src/main/java/org/amaranthpick/server/gateway/StopSteps.java
@@ -0,0 +1,63 @@
+package org.amaranthpick.server.gateway;
+
+import com.google.common.flogger.FluentLogger;
+
+/** Steps of a planned stop of a gateway. */
+final class StopSteps implements StopSequence.Steps {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private final GatewayHandler mHandler;
+    private final UpstreamReach mReach;
+    private final GatewayListeners mListeners;
+    private final Runnable mWithdraw;
+
+    /**
+     * Creates the steps.
+     *
+     * @param handler handles the requests of callers
+     * @param reach handles those of other daemons
+     * @param listeners all listeners
+     * @param withdraw withdraws readiness and ends the daemon's duties
+     */
+    StopSteps(
+            GatewayHandler handler,
+            UpstreamReach reach,
+            GatewayListeners listeners,
+            Runnable withdraw) {
+        mHandler = handler;
+        mReach = reach;
+        mListeners = listeners;
+        mWithdraw = withdraw;
+    }
+
+    @Override
+    public void withdraw() {
+        sLogger.atInfo().log("stop: draining in_progress=%d", openCount());
+        mHandler.drain();
+        mReach.drain();
+        mWithdraw.run();
+    }
+
+    @Override
+    public void refuse() {
+        mHandler.close();
+    }
+
+    @Override
+    public void interrupt() {
+        sLogger.atInfo().log("stop: interrupting in_progress=%d", openCount());
+        mHandler.interrupt();
+        mReach.interrupt();
+    }
+
+    @Override
+    public void closeListeners() {
+        mListeners.close();
+        mHandler.closeIdle();
+    }
+
+    @Override
+    public int openCount() {
+        return mHandler.openCount() + mReach.openCount();
+    }
+}
--- a/server/src/main/java/org/amaranthpick/server/gateway/UpstreamReach.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/UpstreamReach.java
@@ -152,9 +152,14 @@
         mRelayHandler.drain();
     }
 
-    /** Returns the number of requests that are relayed for other daemons. */
-    int relayed() {
-        return mRelayHandler.inProgress();
+    /** Ends what is relayed for other daemons. */
+    void interrupt() {
+        mRelayHandler.interrupt();
+    }
+
+    /** Returns the number of requests of other daemons whose responses are not written. */
+    int openCount() {
+        return mRelayHandler.openCount();
     }
 
     /** Adds what other daemons ask for to the handler of their messages. */
