--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
@@ -33,7 +33,7 @@
     private final BodyMemory mBodyMemory;
     private final Set<ServerConnection> mIdleConnections = new HashSet<>();
     private final Set<ForwardedExchange> mInProgress = new HashSet<>();
-    private final OpenExchanges mOpen = new OpenExchanges();
+    private final PendingResponses mOpen = new PendingResponses();
     private boolean mDraining;
     private boolean mRefusing;
 
--- a/server/src/main/java/org/amaranthpick/server/gateway/OpenExchanges.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/PendingResponses.java
@@ -10,7 +10,7 @@
  * Exchanges from the head of their request until the response is written out or the connection is
  * closed. Confined to the I/O thread.
  */
-final class OpenExchanges {
+final class PendingResponses {
     private final Set<HttpServerExchange> mOpen = new HashSet<>();
 
     void add(HttpServerExchange exchange) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/RelayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayHandler.java
@@ -48,7 +48,7 @@
     private final RelayAdmission mAdmission;
     private final SecureRandom mPathNames = new SecureRandom();
     private final Map<String, HeldConnection> mHeld = new HashMap<>();
-    private final OpenExchanges mOpen = new OpenExchanges();
+    private final PendingResponses mOpen = new PendingResponses();
     private final Set<RelayedExchange> mRelayed = new HashSet<>();
     private int mOpening;
     private int mInProgress;
