Every request that was read ends, and the program notices if not

What callers saw: after an exception in the middle of an exchange no answer at all (before the deadline timer was set, or after the end had cancelled it), an answer only at the route's time-out, or a 500 for a request that had not run. The scheduler, Undertow and completion stages log such an exception and go on; nobody ended the exchange.

Each request is an OpenExchange from its head to the end of its answer. Its steps run in it: handler, body, forwarding, events of calls, deadline, decisions of the admission, loops over all exchanges. What a step throws ends this exchange alone: 503 if nothing was sent, else 502; an answer that has begun is broken off. It is counted (task "request") and logged once. The end runs all its steps also if one fails. The head of an answer is set before the end is recorded, and cleared before an answer of the gateway's own. A response that is to be sent twice is a failure and no longer passed over.

OpenExchanges knows all requests that are being read or are unanswered. A request without an end, with two, or unanswered 0.5 s past its time limit in two checks in a row violates every_request_ends (new) or one_outcome, and is answered. GatewayHandler.inProgress() now counts until the answer is written; reading() counts the requests whose body is still being read. The gateway exports amaranthpick_invariant_violations, which README promised; until now the lease's violations were counted where nobody could see them.

In the admission, a handler or a room source that threw in the periodic check ended that check: requests that waited got no decision.

Not covered: steps of the stall detector itself, and of the search for a path (UpstreamCall.onRelayReply), whose exceptions are still only logged or lost; the exchange ends at its deadline. Relayed exchanges have no guard.

--- a/core/src/main/java/org/amaranthpick/core/gateway/admission/ServiceAdmission.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/admission/ServiceAdmission.java
@@ -8,6 +8,7 @@
 import org.amaranthpick.core.gateway.admission.LoadDecision.Outcome;
 import org.amaranthpick.core.gateway.admission.LoadDecision.Reason;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.core.time.TaskGuard;
 
 /**
  * Admission to the chains of one service. Designed for a fleet in which each daemon has few
@@ -56,6 +57,7 @@
     private final ReturnBacklog mReturns = new ReturnBacklog();
     private final WaitingRequests mWaiting = new WaitingRequests();
     private final SendPacing mPacing;
+    private final TaskGuard mGuard;
     private long mSequence;
     private long mPressureUntilNs = Long.MIN_VALUE;
     private boolean mSending;
@@ -66,6 +68,7 @@
         mDaemons = daemons;
         mScheduler = scheduler;
         mPacing = new SendPacing(daemons);
+        mGuard = new TaskGuard(scheduler);
     }
 
     void request(AdmissionTicket ticket) {
@@ -78,6 +81,15 @@
             mDemand.add(level, candidate.work().tokens(), nowNs);
         }
         mWaiting.add(ticket);
+        try {
+            decideAtOnce(ticket, room, nowNs);
+        } finally {
+            // Others wait too: they are checked again whatever this one throws.
+            scheduleCheck();
+        }
+    }
+
+    private void decideAtOnce(AdmissionTicket ticket, Optional<ModelRoom> room, long nowNs) {
         mWaiting.excess(waiting -> cost(waiting, nowNs))
                 .ifPresent(excess -> refuse(excess, Reason.PASSED_OVER, room, nowNs));
         sendWaiting();
@@ -85,7 +97,6 @@
             mPressureUntilNs = nowNs + PRESSURE_NS;
             refuseIfHopeless(ticket, nowNs, 1);
         }
-        scheduleCheck();
     }
 
     void onClosed(AdmissionTicket ticket, boolean answered) {
@@ -137,7 +148,8 @@
         }
         boolean hasWaited = nowNs < mPressureUntilNs;
         String figures = hasWaited ? figures(next, room, nowNs) : "";
-        next.decide(
+        decide(
+                next,
                 new LoadDecision(Outcome.SENT, reason, waited(next, nowNs), Duration.ZERO, figures),
                 nowNs);
         return true;
@@ -282,12 +294,18 @@
         String figures = figures(ticket, room, nowNs);
         mWaiting.remove(ticket);
         mShares.onDecision(candidate, !isReturning(ticket), false, nowNs);
-        ticket.decide(
+        decide(
+                ticket,
                 new LoadDecision(
                         Outcome.REFUSED, reason, waited(ticket, nowNs), retryAfter, figures),
                 nowNs);
     }
 
+    /** Decides on one request; what its handler throws concerns none of the others. */
+    private void decide(AdmissionTicket ticket, LoadDecision decision, long nowNs) {
+        mGuard.run("admission", () -> ticket.decide(decision, nowNs));
+    }
+
     private String figures(AdmissionTicket ticket, Optional<ModelRoom> room, long nowNs) {
         return room.map(
                         known ->
@@ -316,6 +334,10 @@
 
     private void check() {
         mCheckScheduled = false;
+        mGuard.run("admission", this::checkWaiting, this::scheduleCheck);
+    }
+
+    private void checkWaiting() {
         sendWaiting();
         long nowNs = mScheduler.monotonicNs();
         for (AdmissionTicket ticket : mWaiting.all()) {
@@ -323,6 +345,5 @@
                 refuseIfHopeless(ticket, nowNs, GIVE_UP_FACTOR);
             }
         }
-        scheduleCheck();
     }
 }
--- a/core/src/main/java/org/amaranthpick/core/invariant/Invariant.java
+++ b/core/src/main/java/org/amaranthpick/core/invariant/Invariant.java
@@ -10,6 +10,8 @@
     ANSWER_OWNER("answer_owner"),
     /** A request ends with one outcome only. */
     ONE_OUTCOME("one_outcome"),
+    /** A request that was read ends, within its time limit. */
+    EVERY_REQUEST_ENDS("every_request_ends"),
     /** A request that is reported as not run cannot have run anywhere. */
     NOT_RUN_IS_TRUE("not_run_is_true"),
     /** A request that is not idempotent is not attempted again once it may have run. */
--- a/server/src/main/java/org/amaranthpick/server/gateway/BodyReader.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/BodyReader.java
@@ -4,6 +4,7 @@
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.concurrent.Executor;
 import org.amaranthpick.core.gateway.BodyMemory;
 import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.server.http.ConnectionWatch;
@@ -20,6 +21,7 @@
     private final HttpServerExchange mExchange;
     private final int mMaxBytes;
     private final BodyMemory.Reservation mMemory;
+    private final Executor mSteps;
     private final Listener mListener;
     private Receiver mReceiver;
     private byte[] mBuffer = new byte[0];
@@ -45,19 +47,29 @@
             HttpServerExchange exchange,
             int maxBytes,
             BodyMemory.Reservation memory,
+            Executor steps,
             Listener listener) {
         mExchange = exchange;
         mMaxBytes = maxBytes;
         mMemory = memory;
+        mSteps = steps;
         mListener = listener;
     }
 
-    /** Reads the body of an exchange. Its memory is held until the exchange ends. */
+    /**
+     * Reads the body of an exchange. Its memory is held until the exchange ends.
+     *
+     * @param steps runs what happens as steps of the exchange
+     */
     static void read(
-            HttpServerExchange exchange, long maxBytes, BodyMemory memory, Listener listener) {
+            HttpServerExchange exchange,
+            long maxBytes,
+            BodyMemory memory,
+            Executor steps,
+            Listener listener) {
         // One array holds a body.
         int maxArrayBytes = (int) Math.min(maxBytes, Integer.MAX_VALUE - 8L);
-        new BodyReader(exchange, maxArrayBytes, memory.open(), listener).start();
+        new BodyReader(exchange, maxArrayBytes, memory.open(), steps, listener).start();
     }
 
     private void start() {
@@ -78,7 +90,8 @@
         mExchange.setMaxEntitySize(2L * mMaxBytes + MIN_DISCARDED_BYTES);
         mReceiver = mExchange.getRequestReceiver();
         mReceiver.receivePartialBytes(
-                (read, bytes, last) -> onBytes(bytes, last), (failed, e) -> onFailed(e));
+                (read, bytes, last) -> mSteps.execute(() -> onBytes(bytes, last)),
+                (failed, e) -> mSteps.execute(() -> onFailed(e)));
     }
 
     private void onBytes(byte[] bytes, boolean last) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/CallerResponseWriter.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/CallerResponseWriter.java
@@ -51,9 +51,8 @@
         mOnWritable = onWritable;
     }
 
-    /** Sends a complete response. */
-    void sendComplete(int status, HeaderMap headers, byte[] body) {
-        setHead(status, headers);
+    /** Sends the body of a response whose head has been set. */
+    void sendComplete(byte[] body) {
         mExchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
         openChannel();
         sendChunk(body);
@@ -100,7 +99,8 @@
         }
     }
 
-    private void setHead(int status, HeaderMap headers) {
+    /** Sets the status and headers of a complete response. */
+    void setHead(int status, HeaderMap headers) {
         mExchange.setStatusCode(status);
         HeaderMap response = mExchange.getResponseHeaders();
         for (HeaderValues values : headers) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/ExchangeAdmission.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ExchangeAdmission.java
@@ -17,6 +17,7 @@
     /** Time after which callers of a host without a path return; other hosts may have one. */
     private static final Duration NO_PATH_RETRY_TIME = Duration.ofMillis(250);
 
+    private final OpenExchange mOpen;
     private final ForwardedRequest mRequest;
     private final GatewayContext mContext;
     private final Consumer<String> mAdmitted;
@@ -27,16 +28,19 @@
     /**
      * Creates the admission.
      *
+     * @param open runs the steps of the exchange
      * @param request the request
      * @param context components of the gateway
      * @param admitted sends the request, given the details for the log
      * @param turnedAway refuses the request, which has not run, given the reason
      */
     ExchangeAdmission(
+            OpenExchange open,
             ForwardedRequest request,
             GatewayContext context,
             Consumer<String> admitted,
             Consumer<String> turnedAway) {
+        mOpen = open;
         mRequest = request;
         mContext = context;
         mAdmitted = admitted;
@@ -50,7 +54,8 @@
                         .model()
                         .map(model -> mContext.loadAdmission().ticket(candidate(model)));
         mTicket.ifPresentOrElse(
-                ticket -> ticket.request(this::onDecision), () -> mAdmitted.accept("first"));
+                ticket -> ticket.request(decision -> mOpen.run(() -> onDecision(decision))),
+                () -> mAdmitted.accept("first"));
     }
 
     private AdmissionCandidate candidate(EngineModel model) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
@@ -34,6 +34,7 @@
 
     ForwardAttempt(
             ForwardedExchange exchange,
+            OpenExchange open,
             ForwardedRequest request,
             GatewayContext context,
             Target target,
@@ -55,7 +56,7 @@
                                         request.body(),
                                         timeout,
                                         Optional.empty()),
-                                this);
+                                new GuardedListener(this, open));
     }
 
     void start() {
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -29,13 +29,14 @@
             "the request or a part of its prompt crashes upstreams";
 
     private final HttpServerExchange mExchange;
+    private final OpenExchange mOpen;
     private final ForwardedRequest mRequest;
     private final GatewayContext mContext;
-    private final Listener mListener;
+    private final ExchangeListener mListener;
     private final CallerResponseWriter mResponseWriter;
     private final Set<String> mExcludedUpstreams = new HashSet<>();
     private Optional<BufferedResponse> mLastResponse = Optional.empty();
-    private DisconnectDetector mDisconnectDetector;
+    private Runnable mStopDetector = () -> {};
     private Cancellable mDeadlineTimer = () -> {};
     private final AttemptPair mAttempts;
     private final PromptCrashGuard mCrashGuard;
@@ -47,22 +48,15 @@
     private boolean mStreamStarted;
     private boolean mEnded;
 
-    /** Receives events that concern other exchanges. */
-    interface Listener {
-        /** Handles the end of the exchange. */
-        void onEnded(ForwardedExchange exchange);
-
-        /** Handles an engine that was found not to respond. */
-        void onEngineUnresponsive(String engineId, String reason);
-    }
-
     ForwardedExchange(
             HttpServerExchange exchange,
+            OpenExchange open,
             ForwardedRequest request,
             GatewayContext context,
             GatewayResponses responses,
-            Listener listener) {
+            ExchangeListener listener) {
         mExchange = exchange;
+        mOpen = open;
         mRequest = request;
         mContext = context;
         mListener = listener;
@@ -70,8 +64,8 @@
                 new CallerResponseWriter(
                         exchange,
                         context.dialect(),
-                        this::onCallerDisconnected,
-                        this::onCallerWritable);
+                        () -> run(this::onCallerDisconnected),
+                        () -> run(this::onCallerWritable));
         mCrashGuard = new PromptCrashGuard(request, context);
         mSends = new SendHistory(request, context, mCrashGuard);
         mAttempts =
@@ -80,7 +74,8 @@
                         new StallDetector(request, context, this),
                         mSends,
                         mCrashGuard);
-        mAdmission = new ExchangeAdmission(request, context, this::tryNextUpstream, this::fail);
+        mAdmission =
+                new ExchangeAdmission(open, request, context, this::tryNextUpstream, this::fail);
         mFailures =
                 new FailureResponse.Selector(
                         exchange, request, responses, mSends, mCrashGuard, mAdmission);
@@ -89,10 +84,9 @@
     }
 
     void start() {
-        mDisconnectDetector = DisconnectDetector.start(mExchange, this::onCallerDisconnected);
-        mDeadlineTimer =
-                mContext.scheduler()
-                        .schedule(remainingTime().minus(RESPONSE_MARGIN), this::onDeadline);
+        mStopDetector =
+                DisconnectDetector.start(mExchange, () -> run(this::onCallerDisconnected))::stop;
+        mDeadlineTimer = mContext.scheduler().schedule(retryTime(), () -> run(this::onDeadline));
         mContext.retryBudgets().forService(mRequest.service().name()).onRequest(nowNs());
         if (!mCrashGuard.admits()) {
             fail(QUARANTINED);
@@ -116,26 +110,19 @@
             fail("no upstream available" + obstacles + "; last cause: " + reason);
             return;
         }
-        sendTo(target.get(), reason);
-    }
-
-    private void sendTo(Target target, String reason) {
-        mAttempts.start(createAttempt(target, reason));
+        mAttempts.start(createAttempt(target.get(), reason));
     }
 
     private ForwardAttempt createAttempt(Target target, String reason) {
         mSends.onSend();
         UpstreamRequestMetadata metadata =
-                new UpstreamRequestMetadata(
-                        target,
-                        mRequest.metadata().deadline().map(deadline -> deadline.minus(elapsed())),
-                        mRequest.workspace(),
-                        mRequest.priority(),
-                        mAttempts.lastEventId());
+                mRequest.upstreamMetadata(target, elapsed(), mAttempts.lastEventId());
         mContext.metrics().onAttempt(mRequest.route().kind(), mSends.sendCount() > 1);
-        logRequest("attempt", reason + " " + ExchangeLog.describe(target));
+        String detail = reason + " " + ExchangeLog.describe(target);
+        mLog.logRequest("attempt", mSends.sendCount(), elapsed(), detail);
         return new ForwardAttempt(
                 this,
+                mOpen,
                 mRequest,
                 mContext,
                 target,
@@ -224,8 +211,9 @@
     }
 
     private void deliver(BufferedResponse response, String detail) {
+        mResponseWriter.setHead(response.status(), response.headers());
         end("answered", detail);
-        mResponseWriter.sendComplete(response.status(), response.headers(), response.body());
+        mResponseWriter.sendComplete(response.body());
     }
 
     void onNotSent(ForwardAttempt attempt, CallEnd.NotSent end) {
@@ -248,7 +236,15 @@
         String reason =
                 "status " + status + ", not run, at " + notRun.faultyAddress().orElse("first");
         mExcludedUpstreams.add(mHealth.recordNotRun(attempt.target(), notRun, reason).id());
-        retryNotRun(attempt, reason);
+        mExcludedUpstreams.add(attempt.target().upstream().id());
+        if (continueWithOther(attempt, reason)) {
+            return;
+        }
+        if (mSends.acquireRetryNotRun()) {
+            tryNextUpstream(reason);
+        } else {
+            fail(reason);
+        }
     }
 
     void onResponseLost(ForwardAttempt attempt, String reason) {
@@ -282,19 +278,6 @@
         }
     }
 
-    /** Retries a request that reached an upstream and was not run there. */
-    private void retryNotRun(ForwardAttempt attempt, String reason) {
-        mExcludedUpstreams.add(attempt.target().upstream().id());
-        if (continueWithOther(attempt, reason)) {
-            return;
-        }
-        if (mSends.acquireRetryNotRun()) {
-            tryNextUpstream(reason);
-        } else {
-            fail(reason);
-        }
-    }
-
     /**
      * Handles an engine that another exchange found not to respond. If this stream passes through
      * that engine and is silent too, it fails over to another target without querying the engine.
@@ -325,6 +308,12 @@
     @Override
     public void onStalled(
             ForwardAttempt attempt, List<UpstreamEntry> stalledEngines, String reason) {
+        run(() -> failOverFrom(attempt, stalledEngines, reason));
+        stalledEngines.forEach(engine -> mListener.onEngineUnresponsive(engine.id(), reason));
+    }
+
+    private void failOverFrom(
+            ForwardAttempt attempt, List<UpstreamEntry> stalledEngines, String reason) {
         stalledEngines.forEach(engine -> mHealth.recordUnreachable(engine, reason));
         stalledEngines.forEach(engine -> mExcludedUpstreams.add(engine.id()));
         if (!mAttempts.isStandby(attempt)) {
@@ -332,7 +321,6 @@
         } else if (attempt.target().chain().isPresent()) {
             giveUpStandby(reason);
         }
-        stalledEngines.forEach(engine -> mListener.onEngineUnresponsive(engine.id(), reason));
     }
 
     /**
@@ -414,17 +402,30 @@
 
     private void end(String outcome, String reason) {
         mEnded = true;
-        mDeadlineTimer.cancel();
-        mAttempts.stop();
-        mDisconnectDetector.stop();
-        mAdmission.close(outcome.equals("answered"));
-        logRequest(outcome, reason);
-        mContext.metrics().onRequestEnd(mRequest.route().kind(), outcome, elapsed());
-        mListener.onEnded(this);
-    }
-
-    private void logRequest(String outcome, String detail) {
-        mLog.logRequest(outcome, mSends.sendCount(), elapsed(), detail);
+        mOpen.onEnd(outcome);
+        mOpen.runAll(
+                mDeadlineTimer::cancel,
+                mAttempts::stop,
+                mStopDetector,
+                () -> mAdmission.close(outcome.equals("answered")),
+                () -> mLog.logRequest(outcome, mSends.sendCount(), elapsed(), reason),
+                () -> mContext.metrics().onRequestEnd(mRequest.route().kind(), outcome, elapsed()),
+                () -> mListener.onEnded(this));
+    }
+
+    /** Runs a step of the exchange, which ends if it fails. */
+    void run(Runnable step) {
+        mOpen.run(step);
+    }
+
+    /** Ends the exchange, of which a step failed; returns whether the request may have run. */
+    boolean abandon(String reason) {
+        boolean cancelled = mOpen.runAll(mAttempts::cancel);
+        boolean mayHaveRun = mSends.mayHaveRun() || !cancelled;
+        if (!mEnded) {
+            end(mStreamStarted ? "broken" : mayHaveRun ? "interrupted" : "refused", reason);
+        }
+        return mayHaveRun;
     }
 
     private long nowNs() {
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedRequest.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedRequest.java
@@ -3,9 +3,11 @@
 import io.undertow.util.HeaderMap;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.amaranthpick.core.gateway.GatewayRoute;
 import org.amaranthpick.core.gateway.GatewayService;
 import org.amaranthpick.core.gateway.RequestKind;
+import org.amaranthpick.core.gateway.Target;
 
 /**
  * A request that was read completely, with the routing information from the configuration that was
@@ -42,6 +44,17 @@
         return route.kind() == RequestKind.STREAM;
     }
 
+    /** Returns what an upstream is told about the request, which has been here for some time. */
+    UpstreamRequestMetadata upstreamMetadata(
+            Target target, Duration elapsed, OptionalLong lastEventId) {
+        return new UpstreamRequestMetadata(
+                target,
+                metadata.deadline().map(deadline -> deadline.minus(elapsed)),
+                workspace,
+                priority,
+                lastEventId);
+    }
+
     /** Returns the longest time from receiving the request to its final response. */
     Duration timeLimit() {
         Duration timeout = route.timeout();
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -60,7 +60,8 @@
     private static final String LEASE_NAME = "layers";
 
     private final GatewaySettings mSettings;
-    private final GatewayMetrics mMetrics = new GatewayMetrics();
+    private final Invariants mInvariants = new Invariants();
+    private final GatewayMetrics mMetrics = new GatewayMetrics(mInvariants);
     private final BodyMemory mBodyMemory = BodyMemory.ofHeap(Runtime.getRuntime().maxMemory());
     private final XnioWorker mWorker;
     private final GatewayListeners mListeners;
@@ -152,7 +153,8 @@
                         context,
                         mConfiguration::current,
                         new GatewayResponses(dialect, random),
-                        mBodyMemory);
+                        mBodyMemory,
+                        mInvariants);
         quarantine.setOnQuarantine(mHandler::onQuarantine);
         mReach.paths()
                 .setOnPartitioned(
@@ -298,7 +300,7 @@
                 mScheduler,
                 tokens,
                 decisions,
-                new Invariants(),
+                mInvariants,
                 random,
                 LeaseTimings.placementSettings(),
                 mSettings.host());
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
@@ -11,16 +11,18 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.amaranthpick.core.gateway.BodyMemory;
 import org.amaranthpick.core.gateway.Credential;
 import org.amaranthpick.core.gateway.GatewayConfiguration;
 import org.amaranthpick.core.gateway.GatewayRoute;
 import org.amaranthpick.core.gateway.GatewayService;
+import org.amaranthpick.core.invariant.Invariants;
 import org.xnio.IoUtils;
 
 /** Resolves the route and credential of each request and starts an exchange to forward it. */
-final class GatewayHandler implements HttpHandler, ForwardedExchange.Listener {
+final class GatewayHandler implements HttpHandler, ExchangeListener {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     /** Deadline assumed for callers that specify none while no configuration is in force. */
@@ -29,6 +31,7 @@
     private final GatewayContext mContext;
     private final Supplier<Optional<GatewayConfiguration>> mConfiguration;
     private final GatewayResponses mResponses;
+    private final OpenExchanges mOpen;
     private final BodyMemory mBodyMemory;
     private final Set<ServerConnection> mIdleConnections = new HashSet<>();
     private final Set<ForwardedExchange> mInProgress = new HashSet<>();
@@ -39,11 +42,13 @@
             GatewayContext context,
             Supplier<Optional<GatewayConfiguration>> configuration,
             GatewayResponses responses,
-            BodyMemory bodyMemory) {
+            BodyMemory bodyMemory,
+            Invariants invariants) {
         mContext = context;
         mConfiguration = configuration;
         mResponses = responses;
         mBodyMemory = bodyMemory;
+        mOpen = new OpenExchanges(context.scheduler(), responses, invariants);
     }
 
     /** Starts draining: closes each connection after its next response. */
@@ -61,17 +66,30 @@
         mIdleConnections.clear();
     }
 
+    /** Returns how many requests have been read and have no complete answer. */
     int inProgress() {
-        return mInProgress.size();
+        return mOpen.read();
+    }
+
+    /** Returns how many requests are being read. */
+    int reading() {
+        return mOpen.reading();
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         trackConnection(exchange);
+        OpenExchange open = mOpen.open(exchange);
+        open.run(() -> handleOpen(exchange, open));
+    }
+
+    private void handleOpen(HttpServerExchange exchange, OpenExchange open) {
         CallerRequestMetadata metadata =
                 mContext.dialect().readCallerRequest(exchange.getRequestHeaders());
+        open.setRequestId(metadata.requestId());
         Optional<GatewayConfiguration> configuration = mConfiguration.get();
         if (configuration.isEmpty() || mRefusing) {
+            open.onEnd("refused");
             mResponses.sendNotRun(
                     exchange,
                     metadata.requestId(),
@@ -79,7 +97,7 @@
                     Optional.empty());
             return;
         }
-        route(exchange, metadata, configuration.get());
+        route(exchange, open, metadata, configuration.get());
     }
 
     /** Tracks whether the connection is idle, so that draining can close it. */
@@ -102,17 +120,20 @@
 
     private void route(
             HttpServerExchange exchange,
+            OpenExchange open,
             CallerRequestMetadata metadata,
             GatewayConfiguration configuration) {
         Optional<GatewayRoute> route =
                 configuration.route(hostOf(exchange), exchange.getRequestURI());
         if (route.isEmpty()) {
-            reject(exchange, metadata, configuration, StatusCodes.NOT_FOUND, "no such route");
+            int status = StatusCodes.NOT_FOUND;
+            reject(exchange, open, metadata, configuration, status, "no such route");
             return;
         }
         Optional<Credential> credential = metadata.apiKey().flatMap(configuration::credential);
         if (credential.isEmpty() && configuration.requiresCredential(route.get())) {
-            reject(exchange, metadata, configuration, StatusCodes.UNAUTHORIZED, "unknown key");
+            int status = StatusCodes.UNAUTHORIZED;
+            reject(exchange, open, metadata, configuration, status, "unknown key");
             return;
         }
         String service = route.get().selectService(mContext.random().nextDouble());
@@ -121,15 +142,17 @@
             sLogger.atWarning().log(
                     "config: route=%s refers to service %s, which is not configured",
                     route.get().name(), service);
+            open.onEnd("refused");
             mResponses.sendNotRun(
                     exchange, metadata.requestId(), route.get().timeout(), Optional.empty());
             return;
         }
-        readBody(exchange, metadata, configuration, route.get(), found.get(), credential);
+        readBody(exchange, open, metadata, configuration, route.get(), found.get(), credential);
     }
 
     private void readBody(
             HttpServerExchange exchange,
+            OpenExchange open,
             CallerRequestMetadata metadata,
             GatewayConfiguration configuration,
             GatewayRoute route,
@@ -140,11 +163,13 @@
                 exchange,
                 configuration.limits().maxBodyBytes(),
                 mBodyMemory,
+                open::run,
                 new BodyReader.Listener() {
                     @Override
                     public void onBody(byte[] body) {
                         forward(
                                 exchange,
+                                open,
                                 new ForwardedRequest(
                                         metadata,
                                         exchange.getRequestMethod().toString(),
@@ -164,6 +189,7 @@
                     public void onTooLarge() {
                         reject(
                                 exchange,
+                                open,
                                 metadata,
                                 configuration,
                                 StatusCodes.REQUEST_ENTITY_TOO_LARGE,
@@ -176,6 +202,7 @@
                                 "request: id=%s outcome=refused detail=\"no memory for its body,"
                                         + " others hold %d bytes\"",
                                 metadata.requestId(), mBodyMemory.heldBytes());
+                        open.onEnd("refused");
                         mResponses.sendNotRun(
                                 exchange,
                                 metadata.requestId(),
@@ -188,6 +215,7 @@
                         sLogger.atInfo().log(
                                 "request: id=%s outcome=unread detail=\"%s\"",
                                 metadata.requestId(), e.getMessage());
+                        open.onEnd("unread");
                         exchange.setPersistent(false);
                         exchange.setStatusCode(StatusCodes.BAD_REQUEST);
                         exchange.endExchange();
@@ -195,15 +223,20 @@
                 });
     }
 
-    private void forward(HttpServerExchange exchange, ForwardedRequest request) {
+    private void forward(HttpServerExchange exchange, OpenExchange open, ForwardedRequest request) {
+        open.onRead(request.timeLimit());
         exchange.dispatch(
                 mContext.scheduler(),
-                () -> {
-                    ForwardedExchange forwarded =
-                            new ForwardedExchange(exchange, request, mContext, mResponses, this);
-                    mInProgress.add(forwarded);
-                    forwarded.start();
-                });
+                () -> open.run(() -> startForwarding(exchange, open, request)));
+    }
+
+    private void startForwarding(
+            HttpServerExchange exchange, OpenExchange open, ForwardedRequest request) {
+        ForwardedExchange forwarded =
+                new ForwardedExchange(exchange, open, request, mContext, mResponses, this);
+        open.setAbandon(forwarded::abandon);
+        mInProgress.add(forwarded);
+        forwarded.start();
     }
 
     @Override
@@ -213,17 +246,21 @@
 
     @Override
     public void onEngineUnresponsive(String engineId, String reason) {
-        Set.copyOf(mInProgress).forEach(other -> other.onEngineUnresponsive(engineId, reason));
+        forEachInProgress(other -> other.onEngineUnresponsive(engineId, reason));
     }
 
     /** Moves streams that are silent on direct paths, all of which have been found broken. */
     void onPartitioned() {
-        Set.copyOf(mInProgress).forEach(ForwardedExchange::onPartitioned);
+        forEachInProgress(ForwardedExchange::onPartitioned);
     }
 
     /** Stops requests whose prompts have been quarantined since they were sent. */
     void onQuarantine() {
-        Set.copyOf(mInProgress).forEach(ForwardedExchange::onQuarantine);
+        forEachInProgress(ForwardedExchange::onQuarantine);
+    }
+
+    private void forEachInProgress(Consumer<ForwardedExchange> step) {
+        Set.copyOf(mInProgress).forEach(exchange -> exchange.run(() -> step.accept(exchange)));
     }
 
     private static int priorityOf(GatewayRoute route, Optional<Credential> credential) {
@@ -235,6 +272,7 @@
 
     private void reject(
             HttpServerExchange exchange,
+            OpenExchange open,
             CallerRequestMetadata metadata,
             GatewayConfiguration configuration,
             int status,
@@ -242,6 +280,7 @@
         sLogger.atInfo().log(
                 "request: id=%s outcome=rejected status=%d config=%d detail=\"%s\"",
                 metadata.requestId(), status, configuration.version(), message);
+        open.onEnd("rejected");
         mResponses.sendRejected(exchange, metadata.requestId(), status, message);
     }
 
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -16,6 +16,8 @@
 import java.util.function.IntSupplier;
 import org.amaranthpick.core.gateway.RequestKind;
 import org.amaranthpick.core.gateway.admission.LoadDecision;
+import org.amaranthpick.core.invariant.Invariant;
+import org.amaranthpick.core.invariant.Invariants;
 import org.amaranthpick.core.reach.RelayReply;
 
 /** Counters and latency histograms of a gateway. */
@@ -118,6 +120,27 @@
                     .labelNames("outcome")
                     .register(mRegistry);
 
+    /**
+     * Creates the metrics.
+     *
+     * @param invariants violations to show
+     */
+    GatewayMetrics(Invariants invariants) {
+        GaugeWithCallback.builder()
+                .name("amaranthpick_invariant_violations")
+                .help("Violations of each invariant since the start; any above 0 is a fault.")
+                .labelNames("invariant")
+                .callback(
+                        callback -> {
+                            for (Invariant invariant : Invariant.values()) {
+                                callback.call(
+                                        (double) invariants.violations(invariant),
+                                        invariant.label());
+                            }
+                        })
+                .register(mRegistry);
+    }
+
     private static Histogram.Builder histogram(String name, String help) {
         return Histogram.builder()
                 .name("amaranthpick_gateway_" + name)
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayResponses.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayResponses.java
@@ -60,7 +60,7 @@
 
     private void send(HttpServerExchange exchange, String requestId, int status, String text) {
         if (exchange.isResponseStarted()) {
-            return;
+            throw new IllegalStateException("the response has begun, status " + status);
         }
         exchange.setStatusCode(status);
         mDialect.setRequestId(exchange.getResponseHeaders(), requestId);
--- a/server/src/main/java/org/amaranthpick/server/gateway/RelayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayHandler.java
@@ -102,6 +102,7 @@
                 exchange,
                 mContext.maxBodyBytes().getAsLong(),
                 mContext.bodyMemory(),
+                Runnable::run,
                 new BodyReader.Listener() {
                     @Override
                     public void onBody(byte[] body) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/RelayedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayedExchange.java
@@ -102,13 +102,18 @@
                 .onAnswer(mUpstream, mContext.dialect().readNotice(status, headers), nowNs);
         headers.put(UpstreamConnector.RESULT_HEADER, UpstreamConnector.RESULT_UPSTREAM);
         if (status == StatusCodes.NO_CONTENT || status == StatusCodes.NOT_MODIFIED) {
-            mWithoutBody = Optional.of(() -> mWriter.sendComplete(status, headers, new byte[0]));
+            mWithoutBody = Optional.of(() -> sendWithoutBody(status, headers));
         } else {
             mHeadSent = true;
             mWriter.startStream(status, headers);
         }
     }
 
+    private void sendWithoutBody(int status, HeaderMap headers) {
+        mWriter.setHead(status, headers);
+        mWriter.sendComplete(new byte[0]);
+    }
+
     @Override
     public void onBytes(ByteBuffer bytes) {
         if (mEnded) {
