--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.amaranthpick.core.gateway.EventStreamSplitter;
 import org.amaranthpick.core.gateway.Target;
 import org.amaranthpick.core.gateway.UpstreamVerdict;
@@ -29,13 +30,14 @@
             "the request or a part of its prompt crashes upstreams";
 
     private final HttpServerExchange mExchange;
+    private final OpenExchange mOpen;
     private final ForwardedRequest mRequest;
     private final GatewayContext mContext;
-    private final Listener mListener;
+    private final ExchangeListener mListener;
     private final CallerResponseWriter mResponseWriter;
     private final Set<String> mExcludedUpstreams = new HashSet<>();
     private Optional<BufferedResponse> mLastResponse = Optional.empty();
-    private DisconnectDetector mDisconnectDetector;
+    private Runnable mStopDetector = () -> {};
     private Cancellable mDeadlineTimer = () -> {};
     private final AttemptPair mAttempts;
     private final StandbyTargets mStandbyTargets;
@@ -49,22 +51,15 @@
     private boolean mStalled;
     private boolean mEnded;
 
-    /** Receives events that concern other exchanges. */
-    interface Listener {
-        /** Handles the end of the exchange. */
-        void onEnded(ForwardedExchange exchange);
-
-        /** Handles an engine that was found not to respond. */
-        void onEngineUnresponsive(String engineId, String reason);
-    }
-
     ForwardedExchange(
             HttpServerExchange exchange,
+            OpenExchange open,
             ForwardedRequest request,
             GatewayContext context,
             GatewayResponses responses,
-            Listener listener) {
+            ExchangeListener listener) {
         mExchange = exchange;
+        mOpen = open;
         mRequest = request;
         mContext = context;
         mListener = listener;
@@ -72,8 +67,8 @@
                 new CallerResponseWriter(
                         exchange,
                         context.dialect(),
-                        this::onCallerDisconnected,
-                        this::onCallerWritable);
+                        () -> run(this::onCallerDisconnected),
+                        () -> run(this::onCallerWritable));
         mCrashGuard = new PromptCrashGuard(request, context);
         mSends = new SendHistory(request, context, mCrashGuard);
         mAttempts =
@@ -83,7 +78,8 @@
                         mSends,
                         mCrashGuard);
         mStandbyTargets = new StandbyTargets(request, context, mAttempts, mSends);
-        mAdmission = new ExchangeAdmission(request, context, this::tryNextUpstream, this::fail);
+        mAdmission =
+                new ExchangeAdmission(open, request, context, this::tryNextUpstream, this::fail);
         mFailures =
                 new FailureResponse.Selector(
                         exchange, request, responses, mSends, mCrashGuard, mAdmission);
@@ -92,12 +88,10 @@
     }
 
     void start() {
-        mDisconnectDetector = DisconnectDetector.start(mExchange, this::onCallerDisconnected);
-        mDeadlineTimer =
-                mContext.scheduler()
-                        .schedule(
-                                remainingTime().minus(RESPONSE_MARGIN),
-                                () -> giveUp("deadline exceeded"));
+        mStopDetector =
+                DisconnectDetector.start(mExchange, () -> run(this::onCallerDisconnected))::stop;
+        Runnable onDeadline = () -> run(() -> giveUp("deadline exceeded"));
+        mDeadlineTimer = mContext.scheduler().schedule(retryTime(), onDeadline);
         mContext.retryBudgets().forService(mRequest.service().name()).onRequest(nowNs());
         if (!mCrashGuard.admits()) {
             fail(QUARANTINED);
@@ -121,26 +115,22 @@
             fail("no upstream available" + obstacles + "; last cause: " + reason);
             return;
         }
-        sendTo(target.get(), reason);
-    }
-
-    private void sendTo(Target target, String reason) {
-        mAttempts.start(createAttempt(target, reason));
+        mAttempts.start(createAttempt(target.get(), reason));
     }
 
     private ForwardAttempt createAttempt(Target target, String reason) {
         mSends.onSend();
         UpstreamRequestMetadata metadata =
-                new UpstreamRequestMetadata(
+                mRequest.upstreamMetadata(
                         target,
                         mContext.stop().limit(mRequest.metadata().deadline(), elapsed()),
-                        mRequest.workspace(),
-                        mRequest.priority(),
                         mAttempts.lastEventId());
         mContext.metrics().onAttempt(mRequest.route().kind(), mSends.sendCount() > 1);
-        logRequest("attempt", reason + " " + ExchangeLog.describe(target));
+        String detail = reason + " " + ExchangeLog.describe(target);
+        mLog.logRequest("attempt", mSends.sendCount(), elapsed(), detail);
         return new ForwardAttempt(
                 this,
+                mOpen,
                 mRequest,
                 mContext,
                 target,
@@ -206,14 +196,13 @@
     void onResponse(
             ForwardAttempt attempt, boolean success, int status, HeaderMap headers, byte[] body) {
         mSends.onRun();
-        boolean serverError = status >= StatusCodes.INTERNAL_SERVER_ERROR;
         if (mStreamStarted) {
             onResponseLost(attempt, "the stream cannot be resumed, status " + status);
             return;
         }
         mExcludedUpstreams.add(attempt.target().upstream().id());
         mLastResponse = Optional.of(new BufferedResponse(status, headers, body));
-        if (!success && serverError) {
+        if (!success && status >= StatusCodes.INTERNAL_SERVER_ERROR) {
             String reason = "status " + status;
             if (continueWithOther(attempt, reason)) {
                 return;
@@ -232,23 +221,19 @@
     }
 
     private void deliver(BufferedResponse response, String detail) {
+        mResponseWriter.setHead(response.status(), response.headers());
         end("answered", detail);
-        mResponseWriter.sendComplete(response.status(), response.headers(), response.body());
+        mResponseWriter.sendComplete(response.body());
     }
 
     void onNotSent(ForwardAttempt attempt, CallEnd.NotSent end) {
         UpstreamEntry upstream = attempt.target().upstream();
         mHealth.recordNotSent(upstream, end);
         mExcludedUpstreams.add(upstream.id());
-        if (continueWithOther(attempt, end.reason())) {
-            return;
-        }
-        if (mContext.upstreams().isIsolated()) {
+        if (mContext.upstreams().isIsolated() && !mAttempts.hasStandby()) {
             fail(ExchangeAdmission.NO_PATH);
-        } else if (mSends.admitsFurtherSend()) {
-            tryNextUpstream(end.reason());
         } else {
-            fail(end.reason());
+            goOn(attempt, end.reason(), mSends::admitsFurtherSend);
         }
     }
 
@@ -257,14 +242,7 @@
                 "status " + status + ", not run, at " + notRun.faultyAddress().orElse("first");
         mExcludedUpstreams.add(mHealth.recordNotRun(attempt.target(), notRun, reason).id());
         mExcludedUpstreams.add(attempt.target().upstream().id());
-        if (continueWithOther(attempt, reason)) {
-            return;
-        }
-        if (mSends.acquireRetryNotRun()) {
-            tryNextUpstream(reason);
-        } else {
-            fail(reason);
-        }
+        goOn(attempt, reason, mSends::acquireRetryNotRun);
     }
 
     void onResponseLost(ForwardAttempt attempt, String reason) {
@@ -277,10 +255,15 @@
             mHealth.recordFailure(attempt.target().upstream(), reason);
         }
         mExcludedUpstreams.addAll(attempt.target().upstreamIds());
-        if (continueWithOther(attempt, reason)) {
+        goOn(attempt, reason, () -> mSends.acquireRetry(retryTime()));
+    }
+
+    /** Goes on after an attempt has ended: with the other one, a further one, or a failure. */
+    private void goOn(ForwardAttempt ended, String reason, BooleanSupplier acquireRetry) {
+        if (continueWithOther(ended, reason)) {
             return;
         }
-        if (mSends.acquireRetry(retryTime())) {
+        if (acquireRetry.getAsBoolean()) {
             tryNextUpstream(reason);
         } else {
             fail(reason);
@@ -313,7 +296,9 @@
         }
         if (mAttempts.isStandbySilent(attempt -> attempt.passesThrough(engineId))) {
             mExcludedUpstreams.add(engineId);
-            replaceStandby(reason);
+            if (!startStandby(reason, true)) {
+                mAttempts.backOffStandby();
+            }
         }
     }
 
@@ -329,17 +314,20 @@
     @Override
     public void onStalled(
             ForwardAttempt attempt, List<UpstreamEntry> stalledEngines, String reason) {
+        run(() -> failOverFrom(attempt, stalledEngines, reason));
+        stalledEngines.forEach(engine -> mListener.onEngineUnresponsive(engine.id(), reason));
+    }
+
+    private void failOverFrom(
+            ForwardAttempt attempt, List<UpstreamEntry> stalledEngines, String reason) {
         stalledEngines.forEach(engine -> mHealth.recordUnreachable(engine, reason));
         stalledEngines.forEach(engine -> mExcludedUpstreams.add(engine.id()));
         if (!mAttempts.isStandby(attempt)) {
             mStalled = true;
             failOver(reason);
-        } else if (attempt.target().chain().isPresent()) {
-            replaceStandby(reason);
-        } else {
+        } else if (attempt.target().chain().isEmpty() || !startStandby(reason, true)) {
             mAttempts.backOffStandby();
         }
-        stalledEngines.forEach(engine -> mListener.onEngineUnresponsive(engine.id(), reason));
     }
 
     /**
@@ -352,13 +340,7 @@
         }
     }
 
-    /** Replaces a standby that has stalled too, if there is another target. */
-    private void replaceStandby(String reason) {
-        if (!startStandby(reason, true)) {
-            mAttempts.backOffStandby();
-        }
-    }
-
+    /** Starts a standby in place of the present one, if there is another target. */
     private boolean startStandby(String reason, boolean fromBudget) {
         Optional<Target> target =
                 mStandbyTargets.acquire(mExcludedUpstreams, fromBudget, retryTime());
@@ -420,17 +402,30 @@
 
     private void end(String outcome, String reason) {
         mEnded = true;
-        mDeadlineTimer.cancel();
-        mAttempts.stop();
-        mDisconnectDetector.stop();
-        mAdmission.close(outcome.equals("answered"));
-        logRequest(outcome, reason);
-        mContext.metrics().onRequestEnd(mRequest.route().kind(), outcome, elapsed());
-        mListener.onEnded(this);
-    }
-
-    private void logRequest(String outcome, String detail) {
-        mLog.logRequest(outcome, mSends.sendCount(), elapsed(), detail);
+        mOpen.onEnd(outcome);
+        mOpen.runAll(
+                mDeadlineTimer::cancel,
+                mAttempts::stop,
+                mStopDetector,
+                () -> mAdmission.close(outcome.equals("answered")),
+                () -> mLog.logRequest(outcome, mSends.sendCount(), elapsed(), reason),
+                () -> mContext.metrics().onRequestEnd(mRequest.route().kind(), outcome, elapsed()),
+                () -> mListener.onEnded(this));
+    }
+
+    /** Runs a step of the exchange, which ends if it fails. */
+    void run(Runnable step) {
+        mOpen.run(step);
+    }
+
+    /** Ends the exchange, of which a step failed; returns whether the request may have run. */
+    boolean abandon(String reason) {
+        boolean cancelled = mOpen.runAll(mAttempts::cancel);
+        boolean mayHaveRun = mSends.mayHaveRun() || !cancelled;
+        if (!mEnded) {
+            end(mStreamStarted ? "broken" : mayHaveRun ? "interrupted" : "refused", reason);
+        }
+        return mayHaveRun;
     }
 
     private long nowNs() {
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedRequest.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedRequest.java
@@ -3,9 +3,11 @@
 import io.undertow.util.HeaderMap;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.amaranthpick.core.gateway.GatewayRoute;
 import org.amaranthpick.core.gateway.GatewayService;
 import org.amaranthpick.core.gateway.RequestKind;
+import org.amaranthpick.core.gateway.Target;
 
 /**
  * A request that was read completely, with the routing information from the configuration that was
@@ -42,6 +44,12 @@
         return route.kind() == RequestKind.STREAM;
     }
 
+    /** Returns what an upstream is told about the request, with the time that it is given. */
+    UpstreamRequestMetadata upstreamMetadata(
+            Target target, Optional<Duration> timeLeft, OptionalLong lastEventId) {
+        return new UpstreamRequestMetadata(target, timeLeft, workspace, priority, lastEventId);
+    }
+
     /** Returns the longest time from receiving the request to its final response. */
     Duration timeLimit() {
         Duration timeout = route.timeout();
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -56,7 +56,8 @@
     private static final String LEASE_NAME = "layers";
 
     private final GatewaySettings mSettings;
-    private final GatewayMetrics mMetrics = new GatewayMetrics();
+    private final Invariants mInvariants = new Invariants();
+    private final GatewayMetrics mMetrics = new GatewayMetrics(mInvariants);
     private final BodyMemory mBodyMemory = BodyMemory.ofHeap(Runtime.getRuntime().maxMemory());
     private final XnioWorker mWorker;
     private final GatewayListeners mListeners;
@@ -150,7 +151,8 @@
                         context,
                         mConfiguration::current,
                         new GatewayResponses(dialect, random),
-                        mBodyMemory);
+                        mBodyMemory,
+                        mInvariants);
         quarantine.setOnQuarantine(mHandler::onQuarantine);
         mReach.paths()
                 .setOnPartitioned(
@@ -297,7 +299,7 @@
                 mScheduler,
                 tokens,
                 decisions,
-                new Invariants(),
+                mInvariants,
                 random,
                 LeaseTimings.placementSettings(),
                 mSettings.host());
