A caller that waits for 100-continue is told to go on

What callers saw: a request with "Expect: 100-continue" got neither an interim response nor an answer; its caller waited until one of them gave up. Undertow sends the interim response only through its own handler, which nobody used. That handler is now in front of the callers' listener; it sends the response once the body is read, so not before a refusal.

A half-close stays what it was: it can't be told from a close, after which engines have to stop, so the request ends as "gone".

--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -330,7 +330,7 @@
         mDaemonCounter.start(this::onDaemonCount);
         mQuarantineRecords.load();
         mListeners.start(mSettings.readinessAddress(), this::handleReadiness);
-        mListeners.start(mSettings.callerAddress(), mHandler);
+        mListeners.start(mSettings.callerAddress(), Handlers.httpContinueRead(mHandler));
         mListeners.start(mSettings.metricsAddress(), mMetrics::write);
         mSettings
                 .peerAddress()
