--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
@@ -198,16 +198,7 @@
 
                     @Override
                     public void onNoMemory() {
-                        sLogger.atInfo().log(
-                                "request: id=%s outcome=refused detail=\"no memory for its body,"
-                                        + " others hold %d bytes\"",
-                                metadata.requestId(), mBodyMemory.heldBytes());
-                        open.onEnd("refused");
-                        mResponses.sendNotRun(
-                                exchange,
-                                metadata.requestId(),
-                                metadata.deadline().orElse(route.timeout()),
-                                Optional.empty());
+                        refuseForMemory(exchange, open, metadata, route);
                     }
 
                     @Override
@@ -223,6 +214,23 @@
                 });
     }
 
+    private void refuseForMemory(
+            HttpServerExchange exchange,
+            OpenExchange open,
+            CallerRequestMetadata metadata,
+            GatewayRoute route) {
+        sLogger.atInfo().log(
+                "request: id=%s outcome=refused detail=\"no memory for its body,"
+                        + " others hold %d bytes\"",
+                metadata.requestId(), mBodyMemory.heldBytes());
+        open.onEnd("refused");
+        mResponses.sendNotRun(
+                exchange,
+                metadata.requestId(),
+                metadata.deadline().orElse(route.timeout()),
+                Optional.empty());
+    }
+
     private void forward(HttpServerExchange exchange, OpenExchange open, ForwardedRequest request) {
         open.onRead(request.timeLimit());
         exchange.dispatch(
