A stopping host answers new connections until it exits

The commit before closed the listeners when nothing was in progress, 100 ms before the exit; a caller that came then was turned away without a word. GatewayEndToEndTest.finishesStreamsInProgressWhileDraining found it (connection refused in place of 503). The listeners stay open now and late requests get 503; the stop ends when nothing was open for a whole period after the idle connections were closed.

--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -368,7 +368,6 @@
         return new StopSteps(
                 mHandler,
                 mReach,
-                mListeners,
                 () -> {
                     mDraining = true;
                     mLease.release();
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayListeners.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayListeners.java
@@ -61,6 +61,5 @@
     @Override
     public void close() {
         mStarted.forEach(Undertow::stop);
-        mStarted.clear();
     }
 }
--- a/server/src/main/java/org/amaranthpick/server/gateway/StopSequence.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/StopSequence.java
@@ -26,7 +26,7 @@
     private Steps mSteps;
     private Consumer<Boolean> mOnEnd;
     private boolean mInterrupted;
-    private boolean mListenersClosed;
+    private boolean mIdleClosed;
     private boolean mEnded;
 
     /** What is done at each phase. */
@@ -40,8 +40,8 @@
         /** Ends each request in progress with a response that says whether it may have run. */
         void interrupt();
 
-        /** Accepts no further connections and closes the idle ones. */
-        void closeListeners();
+        /** Closes the connections that are idle, as the process is about to exit. */
+        void closeIdle();
 
         /** Returns the number of requests that are being read, served or answered. */
         int openCount();
@@ -118,19 +118,19 @@
         }
     }
 
-    /** Ends the stop if a whole period after the listeners were closed no request is open. */
+    /** Ends the stop if a whole period after idle connections were closed no request is open. */
     private void check() {
         if (mEnded) {
             return;
         }
         boolean quiet = mSteps.openCount() == 0;
-        if (quiet && mListenersClosed) {
+        if (quiet && mIdleClosed) {
             end(true);
             return;
         }
         if (quiet) {
-            mListenersClosed = true;
-            mSteps.closeListeners();
+            mIdleClosed = true;
+            mSteps.closeIdle();
         }
         mScheduler.schedule(CHECK_PERIOD, this::check);
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/StopSteps.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/StopSteps.java
@@ -8,7 +8,6 @@
 
     private final GatewayHandler mHandler;
     private final UpstreamReach mReach;
-    private final GatewayListeners mListeners;
     private final Runnable mWithdraw;
 
     /**
@@ -16,17 +15,11 @@
      *
      * @param handler handles the requests of callers
      * @param reach handles those of other daemons
-     * @param listeners all listeners
      * @param withdraw withdraws readiness and ends the daemon's duties
      */
-    StopSteps(
-            GatewayHandler handler,
-            UpstreamReach reach,
-            GatewayListeners listeners,
-            Runnable withdraw) {
+    StopSteps(GatewayHandler handler, UpstreamReach reach, Runnable withdraw) {
         mHandler = handler;
         mReach = reach;
-        mListeners = listeners;
         mWithdraw = withdraw;
     }
 
@@ -51,8 +44,7 @@
     }
 
     @Override
-    public void closeListeners() {
-        mListeners.close();
+    public void closeIdle() {
         mHandler.closeIdle();
     }
 
--- a/server/src/test/java/org/amaranthpick/server/gateway/StopSequenceTest.java
+++ b/server/src/test/java/org/amaranthpick/server/gateway/StopSequenceTest.java
@@ -41,7 +41,7 @@
         }
 
         @Override
-        public void closeListeners() {
+        public void closeIdle() {
             note("close");
         }
 
@@ -92,9 +92,9 @@
         assertEquals(List.of("0 withdraw", "2500 refuse", "5000 close", "5100 end true"), mEvents);
     }
 
-    /** A request can arrive on a connection that is accepted as the listeners close. */
+    /** A request can arrive on a new connection as the idle ones are closed. */
     @Test
-    void waitsForARequestThatCameAsTheListenersClosed() {
+    void waitsForARequestThatCameAsIdleConnectionsClosed() {
         start();
         mScheduler.advance(Duration.ofMillis(2550));
         mOpenCount = 1;
