The queue to a caller that does not read is bounded in bytes

Seen: one stream of large events to a caller that does not read held 61 MB of the daemon's heap of 96 MB. The queue was bounded by 64 chunks, and a chunk may be an event of 1 MB. Besides, a pause of reading was a task that ran only once the read loop had emptied the connection.

Now the queue counts its bytes too (64 KB, or one longer event), and a pause on the I/O thread takes effect at once. Relays use the same writer.

RelayedRequestTest (21), BrokenStreamTest (6), PausedEngineTest (7) and HttpUpstream* (37) pass.

--- a/server/src/main/java/org/amaranthpick/server/gateway/CallerResponseWriter.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/CallerResponseWriter.java
@@ -22,12 +22,16 @@
     /** Chunks queued for a slow caller before reading from the upstream is paused. */
     private static final int MAX_PENDING_CHUNKS = 64;
 
+    /** Bytes of these chunks; one event may be longer. */
+    private static final int MAX_PENDING_BYTES = 64 * 1024;
+
     private final HttpServerExchange mExchange;
     private final GatewayDialect mDialect;
     private final Runnable mOnDisconnect;
     private final Runnable mOnWritable;
     private final Deque<ByteBuffer> mPending = new ArrayDeque<>();
     private StreamSinkChannel mSink;
+    private long mPendingBytes;
     private boolean mFinished;
     private boolean mClosed;
     private boolean mBackpressured;
@@ -79,9 +83,11 @@
         }
         if (bytes.length > 0) {
             mPending.addLast(ByteBuffer.wrap(bytes));
+            mPendingBytes += bytes.length;
             writePending();
         }
-        mBackpressured = mPending.size() >= MAX_PENDING_CHUNKS;
+        mBackpressured =
+                mPending.size() >= MAX_PENDING_CHUNKS || mPendingBytes >= MAX_PENDING_BYTES;
         return !mBackpressured;
     }
 
@@ -122,10 +128,12 @@
         try {
             while (!mPending.isEmpty()) {
                 ByteBuffer next = mPending.peekFirst();
-                if (mSink.write(next) == 0) {
+                int written = mSink.write(next);
+                if (written == 0) {
                     mSink.resumeWrites();
                     return;
                 }
+                mPendingBytes -= written;
                 if (!next.hasRemaining()) {
                     mPending.removeFirst();
                 }
--- a/server/src/main/java/org/amaranthpick/server/http/HostPool.java
+++ b/server/src/main/java/org/amaranthpick/server/http/HostPool.java
@@ -91,6 +91,11 @@
         }
     }
 
+    /** Returns whether the current thread is that of this pool. */
+    boolean isOnThread() {
+        return mThread.isCurrent();
+    }
+
     /** Returns whether no connection is open or being opened, and so none is waited for. */
     boolean isUnused() {
         return mOpen.get() == 0;
--- a/server/src/main/java/org/amaranthpick/server/http/LimitingThread.java
+++ b/server/src/main/java/org/amaranthpick/server/http/LimitingThread.java
@@ -27,6 +27,11 @@
         return mLatest;
     }
 
+    /** Returns whether the current thread is the I/O thread. */
+    boolean isCurrent() {
+        return Thread.currentThread() == mThread;
+    }
+
     @Override
     protected IoFuture<StreamConnection> openTcpStreamConnection(
             InetSocketAddress bindAddress,
--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -89,7 +89,12 @@
 
     /** Stops reading until {@link #resume()}. */
     public void pause() {
-        mPool.execute(() -> mPaused = true);
+        if (mPool.isOnThread()) {
+            // Reading goes on until the connection is empty; a task would run only then.
+            mPaused = true;
+        } else {
+            mPool.execute(() -> mPaused = true);
+        }
     }
 
     /** Goes on reading. */
