--- a/soak/src/main/java/org/amaranthpick/soak/FaultPlayer.java
+++ b/soak/src/main/java/org/amaranthpick/soak/FaultPlayer.java
@@ -16,7 +16,7 @@
 /** Plays the faults of a plan, each on a thread of its own, so that they overlap. */
 final class FaultPlayer {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-    private static final long END_S = 30;
+    private static final long END_S = 60;
     private static final int STORE_CALLS = 6;
     private static final int SHORTEST_CHANGE_MS = 200;
     private static final int LONGEST_CHANGE_MS = 1000;
