Answers that are read whole share a quarter of the heap

Seen: many large answers at the same time end the daemon. An answer may have 8 MiB, and each was held in an array that grew by copies.

Now answers that are buffered draw on a BodyMemory of their own, a quarter of the heap, until their caller has them; their parts are not copied as they grow. An exchange whose answer has no memory ends as interrupted (502, it may have run) without a failure recorded for the engine. The memory stays reserved until the exchange or its connection ends.

CrowdedAnswersTest: gateway, stand-ins and callers in a process with the deployed limits (-Xmx96m, serial collector, 48 MB direct, ExitOnOutOfMemoryError); 24 answers of 8 MB that lack their last byte, and small requests between. Before: failed, "Terminating due to java.lang.OutOfMemoryError: Java heap space". After: passes; the small requests get 200, the last large one 502. Also pass: CrowdedBodiesTest (2), GatewayEndToEndTest (31), BrokenStreamTest (6), KeptConnectionTest (2), UnreadStreamTest (3).

--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
@@ -2,7 +2,6 @@
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
-import java.io.ByteArrayOutputStream;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -24,7 +23,7 @@
     private final GatewayContext mContext;
     private final Target mTarget;
     private final UpstreamCall mCall;
-    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private final AnswerBuffer mBody;
     private Optional<UpstreamVerdict> mVerdict = Optional.empty();
     private HeaderMap mHeaders = new HeaderMap();
     private int mStatus;
@@ -37,12 +36,14 @@
             ForwardedRequest request,
             GatewayContext context,
             Target target,
+            AnswerBuffer body,
             Map<String, String> headers,
             Duration timeout) {
         mExchange = exchange;
         mRequest = request;
         mContext = context;
         mTarget = target;
+        mBody = body;
         mCall =
                 context.upstreams()
                         .prepare(
@@ -113,8 +114,8 @@
     /** Cancels the attempt and closes its connection, so that the upstream stops processing it. */
     void cancel() {
         if (!mEnded) {
-            mEnded = true;
-            mContext.targetPolicy().onEnded(mTarget);
+            end();
+            mBody.clear();
             mCall.cancel();
         }
     }
@@ -165,11 +166,12 @@
         if (mStreaming) {
             mExchange.onStreamBytes(this, bytes);
         } else if (mBody.size() + bytes.remaining() <= MAX_BODY_BYTES) {
-            byte[] chunk = new byte[bytes.remaining()];
-            bytes.get(chunk);
-            mBody.writeBytes(chunk);
+            if (!mBody.add(bytes)) {
+                mExchange.giveUp("no memory for the answer");
+            }
         } else {
             end();
+            mBody.clear();
             mCall.cancel();
             mExchange.onResponseLost(
                     this, "the response body exceeds " + MAX_BODY_BYTES + " bytes");
@@ -195,7 +197,7 @@
         } else {
             boolean success =
                     mVerdict.filter(UpstreamVerdict.Success.class::isInstance).isPresent();
-            mExchange.onResponse(this, success, mStatus, mHeaders, mBody.toByteArray());
+            mExchange.onResponse(this, success, mStatus, mHeaders, mBody.take());
         }
     }
 
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -92,7 +92,9 @@
         mDisconnectDetector = DisconnectDetector.start(mExchange, this::onCallerDisconnected);
         mDeadlineTimer =
                 mContext.scheduler()
-                        .schedule(remainingTime().minus(RESPONSE_MARGIN), this::onDeadline);
+                        .schedule(
+                                remainingTime().minus(RESPONSE_MARGIN),
+                                () -> giveUp("deadline exceeded"));
         mContext.retryBudgets().forService(mRequest.service().name()).onRequest(nowNs());
         if (!mCrashGuard.admits()) {
             fail(QUARANTINED);
@@ -139,6 +141,7 @@
                 mRequest,
                 mContext,
                 target,
+                AnswerBuffer.open(mExchange, mContext.answerMemory()),
                 mContext.dialect().upstreamHeaders(mRequest.headers(), metadata),
                 remainingTime().plus(RESPONSE_MARGIN));
     }
@@ -377,10 +380,11 @@
         failOver(reason);
     }
 
-    private void onDeadline() {
+    /** Fails without blame for the engine. */
+    void giveUp(String reason) {
         if (!mEnded) {
             mAttempts.cancel();
-            fail("deadline exceeded");
+            fail(reason);
         }
     }
 
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -287,6 +287,7 @@
                 quarantine,
                 new CrashDetector(engines, quarantine, mScheduler),
                 new RetryBudgets(mSettings, mDaemonCounter::count),
+                BodyMemory.ofHeap(Runtime.getRuntime().maxMemory()),
                 mMetrics,
                 mRandom);
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.server.gateway;
 
 import java.util.random.RandomGenerator;
+import org.amaranthpick.core.gateway.BodyMemory;
 import org.amaranthpick.core.gateway.LeastLoadedTargetPolicy;
 import org.amaranthpick.core.gateway.admission.LoadAdmission;
 import org.amaranthpick.core.layers.EngineControl;
@@ -30,6 +31,7 @@
  * @param quarantine requests and parts of prompts that crash upstreams
  * @param crashes finds out which engines have crashed
  * @param retryBudgets retry budget of each service
+ * @param answerMemory memory for answers that are read whole before they are passed on
  * @param metrics counters and histograms
  * @param random random source
  */
@@ -49,5 +51,6 @@
         PromptQuarantine quarantine,
         CrashDetector crashes,
         RetryBudgets retryBudgets,
+        BodyMemory answerMemory,
         GatewayMetrics metrics,
         RandomGenerator random) {}
