--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -88,19 +88,10 @@
     }
 
     void start() {
-<<<<<<< HEAD
         mStopDetector =
                 DisconnectDetector.start(mExchange, () -> run(this::onCallerDisconnected))::stop;
         Runnable onDeadline = () -> run(() -> giveUp("deadline exceeded"));
         mDeadlineTimer = mContext.scheduler().schedule(retryTime(), onDeadline);
-=======
-        mDisconnectDetector = DisconnectDetector.start(mExchange, this::onCallerDisconnected);
-        mDeadlineTimer =
-                mContext.scheduler()
-                        .schedule(
-                                remainingTime().minus(RESPONSE_MARGIN),
-                                () -> giveUp("deadline exceeded"));
->>>>>>> bytes
         mContext.retryBudgets().forService(mRequest.service().name()).onRequest(nowNs());
         if (!mCrashGuard.admits()) {
             fail(QUARANTINED);
@@ -374,16 +365,7 @@
         return true;
     }
 
-<<<<<<< HEAD
     /** Ends the request with what its caller may know now. */
-=======
-    private void giveUpStandby(String reason) {
-        mAttempts.cancelStandby();
-        failOver(reason);
-    }
-
-    /** Fails without blame for the engine. */
->>>>>>> bytes
     void giveUp(String reason) {
         if (!mEnded) {
             mAttempts.cancel();
