A relayed request that is interrupted by a stop counts as one that may have run

A relayed call starts as a queued task on its open connection and is cancelled by another queued task, so a request for which nothing had been sent yet when the stop interrupted it could be sent right after, while the other daemon was told 'not sent' and might send it again.

--- a/server/src/main/java/org/amaranthpick/server/gateway/RelayedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayedExchange.java
@@ -42,7 +42,6 @@
     private DisconnectDetector mDisconnectDetector;
     private OutgoingCall mCall;
     private Optional<Runnable> mWithoutBody = Optional.empty();
-    private boolean mSending;
     private boolean mHeadSent;
     private boolean mEnded;
 
@@ -93,11 +92,6 @@
         return headers;
     }
 
-    @Override
-    public void onSending() {
-        mSending = true;
-    }
-
     @Override
     public void onResponse(int status, HeaderMap headers) {
         if (mEnded) {
@@ -146,12 +140,12 @@
         }
     }
 
-    /** Ends the request, whose upstream is at work, because this daemon stops. */
+    /** Ends the request because this daemon stops. It may be sent before the call is cancelled. */
     void interrupt() {
         if (!mEnded) {
             end("the host stops");
             mCall.cancel();
-            endWithoutResponse(!mSending);
+            endWithoutResponse(false);
         }
     }
 
