A pool of connections keeps no request of the connection that it opened last

Traced with a heap dump: LimitingThread.mLatest, the limit of the connection opened last, led to its connection, call and exchange, one for each upstream, until the next connection to it. It is forgotten once the pool has it.

--- a/server/src/main/java/org/amaranthpick/server/http/HostPool.java
+++ b/server/src/main/java/org/amaranthpick/server/http/HostPool.java
@@ -202,7 +202,7 @@
                     @Override
                     public void completed(ClientConnection connection) {
                         LimitedConnection limited =
-                                new LimitedConnection(connection, mThread.latest());
+                                new LimitedConnection(connection, mThread.takeLatest());
                         execute(() -> onOpened(limited, taker));
                     }
 
--- a/server/src/main/java/org/amaranthpick/server/http/LimitingThread.java
+++ b/server/src/main/java/org/amaranthpick/server/http/LimitingThread.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.server.http;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
@@ -15,16 +16,21 @@
  */
 final class LimitingThread extends XnioIoThread {
     private final XnioIoThread mThread;
-    private ProgressLimit mLatest;
+    private Optional<ProgressLimit> mLatest = Optional.empty();
 
     LimitingThread(XnioIoThread thread) {
         super(thread.getWorker(), thread.getNumber());
         mThread = thread;
     }
 
-    /** Returns the limit of the connection that was opened last. Called on the I/O thread. */
-    ProgressLimit latest() {
-        return mLatest;
+    /**
+     * Returns the limit of the connection that was opened last, and forgets it: it would keep the
+     * last request on that connection. Called on the I/O thread.
+     */
+    ProgressLimit takeLatest() {
+        ProgressLimit latest = mLatest.orElseThrow();
+        mLatest = Optional.empty();
+        return latest;
     }
 
     /** Returns whether the current thread is the I/O thread. */
@@ -41,7 +47,7 @@
             OptionMap options) {
         ChannelListener<StreamConnection> limiting =
                 connection -> {
-                    mLatest = ProgressLimit.install(connection.getSourceChannel());
+                    mLatest = Optional.of(ProgressLimit.install(connection.getSourceChannel()));
                     openListener.handleEvent(connection);
                 };
         return bindAddress == null
