A stopping host closes every connection before its process ends

Cause: after the last check of the stop nobody reads. Only connections that had had a request were closed; those on which none had come yet, those that were accepted after that check, and those of other daemons stayed open. The virtual machine then waits up to 0.3 s for threads in native code, here the I/O thread in its selector. A signal that came before start() had ended met no hook: nothing was drained at all.

At the end, or from the interruption near the end of the grace on, the host stops accepting, reads what has arrived on each connection that waits for a request, which is refused, and closes it, until none is left. Callers that don't close their side after a refusal are waited for 0.5 s, within the grace.

Ways weighed. A lingering close (shut down the own side, read on) can't answer what it reads; it is used after refusals, where Undertow does it. OutOfMemoryError is left: with -XX:+ExitOnOutOfMemoryError callers see their connections close at once.

Changed tests. StopSequenceTest: Steps has one more method; connections are closed from the interruption on, so two sequences have the close at 7,500 ms, 100 ms earlier than before, and at each check after it.

--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -354,7 +354,14 @@
     /** Stops serving; returns when the {@link StopSequence} has ended. */
     public void drain() {
         CompletableFuture<Boolean> drained = new CompletableFuture<>();
-        mScheduler.execute(() -> mStop.start(stopSteps(), drained::complete));
+        mScheduler.execute(
+                () ->
+                        mStop.start(
+                                stopSteps(),
+                                complete -> {
+                                    mListeners.connections().closeAll();
+                                    drained.complete(complete);
+                                }));
         try {
             Duration grace = mSettings.shutdownGrace();
             boolean complete =
@@ -371,6 +378,7 @@
         return new StopSteps(
                 mHandler,
                 mReach,
+                mListeners,
                 () -> {
                     mDraining = true;
                     mLease.release();
@@ -420,7 +428,11 @@
 
     @Override
     public void close() {
-        mScheduler.execute(() -> mClosed = true);
+        mScheduler.execute(
+                () -> {
+                    mClosed = true;
+                    mListeners.connections().closeAll();
+                });
         mDaemonCounter.close();
         mStoreFollowing.close();
         mListeners.close();
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
@@ -3,8 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.ServerConnection;
-import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
@@ -20,7 +18,6 @@
 import org.amaranthpick.core.gateway.GatewayRoute;
 import org.amaranthpick.core.gateway.GatewayService;
 import org.amaranthpick.core.invariant.Invariants;
-import org.xnio.IoUtils;
 
 /** Resolves the route and credential of each request and starts an exchange to forward it. */
 final class GatewayHandler implements HttpHandler, ExchangeListener {
@@ -34,7 +31,6 @@
     private final GatewayResponses mResponses;
     private final OpenExchanges mOpen;
     private final BodyMemory mBodyMemory;
-    private final Set<ServerConnection> mIdleConnections = new HashSet<>();
     private final Set<ForwardedExchange> mInProgress = new HashSet<>();
     private boolean mDraining;
     private boolean mRefusing;
@@ -58,28 +54,9 @@
         mOpen.closeAfterResponses();
     }
 
-    /** Refuses further requests and closes idle connections. */
-    void close() {
+    /** Refuses further requests. */
+    void refuse() {
         mRefusing = true;
-        closeIdle();
-    }
-
-    /**
-     * Closes idle connections, after reading what has arrived on them. A request that was in
-     * transit when its connection closed has not been read, so its caller can safely send it to
-     * another daemon.
-     */
-    void closeIdle() {
-        for (ServerConnection connection : Set.copyOf(mIdleConnections)) {
-            ((HttpServerConnection) connection).getChannel().getSourceChannel().wakeupReads();
-            connection.getIoThread().execute(() -> closeIfIdle(connection));
-        }
-    }
-
-    private void closeIfIdle(ServerConnection connection) {
-        if (mIdleConnections.remove(connection)) {
-            IoUtils.safeClose(connection);
-        }
     }
 
     /** Ends the requests in progress before the grace is over. */
@@ -94,7 +71,9 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        trackConnection(exchange);
+        if (mDraining) {
+            exchange.setPersistent(false);
+        }
         OpenExchange open = mOpen.open(exchange);
         open.run(() -> handleOpen(exchange, open));
     }
@@ -116,24 +95,6 @@
         route(exchange, open, metadata, configuration.get());
     }
 
-    /** Tracks whether the connection is idle, so that draining can close it. */
-    private void trackConnection(HttpServerExchange exchange) {
-        if (mDraining) {
-            exchange.setPersistent(false);
-        }
-        ServerConnection connection = exchange.getConnection();
-        if (!mIdleConnections.remove(connection)) {
-            connection.addCloseListener(mIdleConnections::remove);
-        }
-        exchange.addExchangeCompleteListener(
-                (completed, next) -> {
-                    if (completed.isPersistent() && connection.isOpen()) {
-                        mIdleConnections.add(connection);
-                    }
-                    next.proceed();
-                });
-    }
-
     private void route(
             HttpServerExchange exchange,
             OpenExchange open,
--- a/server/src/main/java/org/amaranthpick/server/gateway/StopSequence.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/StopSequence.java
@@ -9,7 +9,8 @@
 /**
  * Sequence of a planned stop. Readiness is withdrawn; once the load balancer knows, further
  * requests are refused; shortly before the end of the grace the requests in progress get their
- * ends; the stop has ended when every response is written. Confined to one thread.
+ * ends; the stop has ended when every response is written and every connection closed. Confined to
+ * one thread.
  */
 final class StopSequence {
     /** Time for which the load balancer may still send connections after readiness is withdrawn. */
@@ -18,6 +19,9 @@
     /** Time for writing the ends of the requests that are in progress near the end of the grace. */
     private static final Duration END_MARGIN = Duration.ofMillis(500);
 
+    /** Time for callers to read the last refusals and close their connections. */
+    private static final Duration CLOSE_TIME = Duration.ofMillis(500);
+
     private static final Duration CHECK_PERIOD = Duration.ofMillis(100);
 
     private final Scheduler mScheduler;
@@ -26,7 +30,7 @@
     private Steps mSteps;
     private Consumer<Boolean> mOnEnd;
     private boolean mInterrupted;
-    private boolean mIdleClosed;
+    private Optional<Duration> mClosingSince = Optional.empty();
     private boolean mEnded;
 
     /** What is done at each phase. */
@@ -40,9 +44,15 @@
         /** Ends each request in progress with a response that says whether it may have run. */
         void interrupt();
 
-        /** Closes the connections that are idle, as the process is about to exit. */
+        /**
+         * Stops accepting connections and closes those that wait for a request, as the process is
+         * about to exit.
+         */
         void closeIdle();
 
+        /** Returns the number of connections that are not closed. */
+        int connectionCount();
+
         /** Returns the number of requests that are being read, served or answered. */
         int openCount();
     }
@@ -118,23 +128,33 @@
         }
     }
 
-    /** Ends the stop if a whole period after idle connections were closed no request is open. */
+    /**
+     * Closes connections until none is left that a request could come on, and ends the stop. What
+     * arrives in the meantime is refused. Connections that are about to be closed by their callers
+     * are waited for only a while.
+     */
     private void check() {
         if (mEnded) {
             return;
         }
         boolean quiet = mSteps.openCount() == 0;
-        if (quiet && mIdleClosed) {
+        if (quiet && areConnectionsClosed()) {
             end(true);
             return;
         }
-        if (quiet) {
-            mIdleClosed = true;
+        if (quiet || mInterrupted || mClosingSince.isPresent()) {
+            mClosingSince = mClosingSince.or(() -> Optional.of(elapsed()));
             mSteps.closeIdle();
         }
         mScheduler.schedule(CHECK_PERIOD, this::check);
     }
 
+    private boolean areConnectionsClosed() {
+        return mClosingSince.isPresent()
+                && (mSteps.connectionCount() == 0
+                        || elapsed().minus(mClosingSince.get()).compareTo(CLOSE_TIME) >= 0);
+    }
+
     private void end(boolean drained) {
         if (!mEnded) {
             mEnded = true;
--- a/server/src/main/java/org/amaranthpick/server/gateway/StopSteps.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/StopSteps.java
@@ -8,6 +8,7 @@
 
     private final GatewayHandler mHandler;
     private final UpstreamReach mReach;
+    private final GatewayListeners mListeners;
     private final Runnable mWithdraw;
 
     /**
@@ -15,11 +16,17 @@
      *
      * @param handler handles the requests of callers
      * @param reach handles those of other daemons
+     * @param listeners accept the connections of both
      * @param withdraw withdraws readiness and ends the daemon's duties
      */
-    StopSteps(GatewayHandler handler, UpstreamReach reach, Runnable withdraw) {
+    StopSteps(
+            GatewayHandler handler,
+            UpstreamReach reach,
+            GatewayListeners listeners,
+            Runnable withdraw) {
         mHandler = handler;
         mReach = reach;
+        mListeners = listeners;
         mWithdraw = withdraw;
     }
 
@@ -33,7 +40,8 @@
 
     @Override
     public void refuse() {
-        mHandler.close();
+        mHandler.refuse();
+        mListeners.connections().closeIdle();
     }
 
     @Override
@@ -45,7 +53,13 @@
 
     @Override
     public void closeIdle() {
-        mHandler.closeIdle();
+        mListeners.stopAccepting();
+        mListeners.connections().closeWaiting();
+    }
+
+    @Override
+    public int connectionCount() {
+        return mListeners.connections().count();
     }
 
     @Override
--- a/server/src/test/java/org/amaranthpick/server/gateway/StopSequenceTest.java
+++ b/server/src/test/java/org/amaranthpick/server/gateway/StopSequenceTest.java
@@ -23,6 +23,7 @@
     private final StopSequence mStop = new StopSequence(mScheduler, GRACE);
     private final List<String> mEvents = new ArrayList<>();
     private int mOpenCount;
+    private int mConnectionCount;
 
     private final class RecordingSteps implements StopSequence.Steps {
         @Override
@@ -49,6 +50,11 @@
         public int openCount() {
             return mOpenCount;
         }
+
+        @Override
+        public int connectionCount() {
+            return mConnectionCount;
+        }
     }
 
     private void note(String event) {
@@ -104,6 +110,32 @@
         assertEquals("3600 end true", mEvents.get(mEvents.size() - 1));
     }
 
+    @Test
+    void closesConnectionsUntilNoneIsLeft() {
+        mConnectionCount = 2;
+        start();
+        mScheduler.advance(Duration.ofMillis(2750));
+        mConnectionCount = 0;
+        mScheduler.advance(GRACE);
+        assertEquals(
+                List.of(
+                        "0 withdraw",
+                        "2500 refuse",
+                        "2500 close",
+                        "2600 close",
+                        "2700 close",
+                        "2800 end true"),
+                mEvents);
+    }
+
+    @Test
+    void waitsOnlyAWhileForCallersThatDoNotCloseTheirConnections() {
+        mConnectionCount = 1;
+        start();
+        mScheduler.advance(GRACE);
+        assertEquals("3000 end true", mEvents.get(mEvents.size() - 1));
+    }
+
     @Test
     void endsRequestsBeforeTheGraceIsOver() {
         mOpenCount = 1;
@@ -116,8 +148,8 @@
                         "0 withdraw",
                         "2500 refuse",
                         "7500 interrupt",
-                        "7600 close",
-                        "7700 end true"),
+                        "7500 close",
+                        "7600 end true"),
                 mEvents);
     }
 
@@ -127,7 +159,17 @@
         start();
         mScheduler.advance(GRACE.multipliedBy(2));
         assertEquals(
-                List.of("0 withdraw", "2500 refuse", "7500 interrupt", "8000 end false"), mEvents);
+                List.of(
+                        "0 withdraw",
+                        "2500 refuse",
+                        "7500 interrupt",
+                        "7500 close",
+                        "7600 close",
+                        "7700 close",
+                        "7800 close",
+                        "7900 close",
+                        "8000 end false"),
+                mEvents);
     }
 
     @Test
