--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayListeners.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayListeners.java
@@ -1,5 +1,6 @@
 package org.amaranthpick.server.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
@@ -10,6 +11,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -27,6 +29,7 @@
  * body that it reads.
  */
 final class GatewayListeners implements AutoCloseable {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final long BOUNDED_BY_HANDLERS = -1;
     private static final int MAX_HEAD_BYTES = 1024 * 1024;
 
@@ -120,6 +123,8 @@
             if (connection != null) {
                 mConnections.open(connection, opener);
             }
+        } catch (ClosedChannelException e) {
+            sLogger.atFine().log("listener: closed while a connection arrived");
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- /dev/null
+++ b/server/src/test/java/org/amaranthpick/server/gateway/OpenConnectionsTest.java
@@ -0,0 +1,82 @@
+package org.amaranthpick.server.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Connections that have ended stay among the open ones, and fill the heap. */
+class OpenConnectionsTest {
+    private static final int CONNECTIONS = 20;
+    private static final long LIMIT_S = 20;
+
+    /** How a caller uses its connection before it closes it. */
+    private enum Caller {
+        SILENT("", true),
+        IN_HEAD("GET /x HTTP/1.1\r\nHost:", true),
+        KEEPING("GET /x HTTP/1.1\r\nHost: h.example\r\n\r\n", true),
+        CLOSING("GET /x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n", false),
+        NOT_HTTP("\u0001\u0002\r\n\r\n", false);
+
+        private final String mText;
+        private final boolean mStaysOpen;
+
+        Caller(String text, boolean staysOpen) {
+            mText = text;
+            mStaysOpen = staysOpen;
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Caller.class)
+    void forgetsClosedConnections(Caller caller) throws Exception {
+        XnioWorker worker =
+                Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        try (GatewayListeners listeners = new GatewayListeners(worker)) {
+            listeners.start(URI.create("http://127.0.0.1:" + port), exchange -> {});
+            for (int i = 0; i < CONNECTIONS; i++) {
+                try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                    socket.getOutputStream()
+                            .write(caller.mText.getBytes(StandardCharsets.ISO_8859_1));
+                    if (caller.mStaysOpen) {
+                        awaitCount(worker, listeners, 1);
+                    }
+                }
+                awaitCount(worker, listeners, 0);
+            }
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+
+    private static void awaitCount(XnioWorker worker, GatewayListeners listeners, int wanted)
+            throws Exception {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_S);
+        int count = count(worker, listeners);
+        while (count != wanted && System.nanoTime() < endNs) {
+            count = count(worker, listeners);
+        }
+        assertEquals(wanted, count);
+    }
+
+    private static int count(XnioWorker worker, GatewayListeners listeners) throws Exception {
+        CompletableFuture<Integer> count = new CompletableFuture<>();
+        worker.getIoThread().execute(() -> count.complete(listeners.connections().count()));
+        return count.get(LIMIT_S, TimeUnit.SECONDS);
+    }
+}
