A stream whose caller reads slowly isn't run at a second engine

Callers saw no wrong byte: a caller that stopped reading made the daemon stop reading from the engine, and the stall detector took that for the engine's silence. It sent the stream to a second engine as well, which used up a run of maxAttempts and a part of the retry budget, and cancelled the attempt that worked. A real loss afterwards ended the stream.

The detector stands still while the attempt is not read, and begins anew once it is.

--- a/server/src/main/java/org/amaranthpick/server/gateway/AttemptPair.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/AttemptPair.java
@@ -69,6 +69,18 @@
         attempt.start();
     }
 
+    /** Pauses the current attempt while the caller reads too slowly. */
+    void pause() {
+        mCurrent.ifPresent(ForwardAttempt::pause);
+        mStallDetector.pause();
+    }
+
+    /** Resumes the current attempt. */
+    void resume() {
+        mStallDetector.resume();
+        mCurrent.ifPresent(ForwardAttempt::resume);
+    }
+
     Optional<ForwardAttempt> current() {
         return mCurrent;
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -178,7 +178,7 @@
         mAttempts.stallDetector().onEvent();
         mCrashGuard.onEvent();
         if (!mResponseWriter.sendChunk(events)) {
-            attempt.pause();
+            mAttempts.pause();
         }
     }
 
@@ -382,7 +382,7 @@
     }
 
     private void onCallerWritable() {
-        mAttempts.current().ifPresent(ForwardAttempt::resume);
+        mAttempts.resume();
     }
 
     private void fail(String reason) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/StallDetector.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/StallDetector.java
@@ -27,6 +27,7 @@
     private Cancellable mTimer = () -> {};
     private long mLastEventNs;
     private boolean mFalseAlarm;
+    private boolean mPaused;
 
     /** Receives stall notifications. */
     interface Listener {
@@ -64,6 +65,7 @@
     void onAttempt(ForwardAttempt attempt) {
         mAttempt = Optional.of(attempt);
         mFalseAlarm = false;
+        mPaused = false;
         mSilenceTimeout.onAttempt();
         mLastEventNs = mContext.scheduler().monotonicNs();
         schedule(mSilenceTimeout.timeout());
@@ -98,7 +100,22 @@
      * engine of the chain unresponsive.
      */
     boolean exceedsUsualPause() {
-        return mSilenceTimeout.isLongerThanUsual(silenceDuration());
+        return !mPaused && mSilenceTimeout.isLongerThanUsual(silenceDuration());
+    }
+
+    /** Stops monitoring while the upstream is not read from, since the caller reads too slowly. */
+    void pause() {
+        mPaused = true;
+        mTimer.cancel();
+    }
+
+    /** Goes on monitoring; what was not read does not count as silence. */
+    void resume() {
+        if (mPaused) {
+            mPaused = false;
+            mLastEventNs = mContext.scheduler().monotonicNs();
+            schedule(mSilenceTimeout.timeout());
+        }
     }
 
     /** Raises the silence timeout and restarts the timer. */
@@ -114,7 +131,7 @@
 
     private void schedule(Duration delay) {
         mTimer.cancel();
-        if (mRequest.route().retryable()) {
+        if (mRequest.route().retryable() && !mPaused) {
             mTimer = mContext.scheduler().schedule(delay, this::check);
         }
     }
@@ -140,7 +157,7 @@
     }
 
     private void onReport(ForwardAttempt attempt, EngineReport report) {
-        if (mAttempt.filter(current -> current == attempt).isEmpty()) {
+        if (mPaused || mAttempt.filter(current -> current == attempt).isEmpty()) {
             return;
         }
         if (report instanceof EngineReport.Absent missing) {
