An error thrown by a step ends that request, not its caller's patience

Seen by callers: after an Error (AssertionError, StackOverflowError, NoClassDefFoundError) in a step, a request was forgotten and answered 504 at its time limit, 10 s later, or 500 by the HTTP library, which says nothing of whether it had run. Nothing was counted.

Cause: OpenExchange, TaskGuard and the schedulers caught RuntimeException only. TaskGuard.call did not plan the next run of a task whose call could not be started.

Errors are now handled as exceptions are: the request ends with its true outcome, the task goes on, both are logged and counted. A VirtualMachineError other than StackOverflowError ends the process with status 3, as -XX:+ExitOnOutOfMemoryError does. Weighed: most OutOfMemoryErrors end it by that option anyway; those for direct buffers are thrown by Java code, which the option does not see, and InternalError and UnknownError leave a state nobody knows. A process that ends costs its requests in progress; one that stays may break promises already given. The I/O threads swallowed these errors before. A stack overflow is over once its step has been left.

--- a/core/src/main/java/org/amaranthpick/core/time/Scheduler.java
+++ b/core/src/main/java/org/amaranthpick/core/time/Scheduler.java
@@ -23,13 +23,20 @@
     Cancellable schedule(Duration delay, Runnable task);
 
     /**
-     * Receives the exception of a task that goes on nevertheless. The scheduler of a daemon logs
-     * and counts it; others pass it on to whoever runs the task.
+     * Receives the exception or error of a task that goes on nevertheless. The scheduler of a
+     * daemon logs and counts it, and ends the process after an error of the virtual machine; others
+     * pass it on to whoever runs the task.
      *
      * @param task name of the task
      * @param failure what it threw
      */
-    default void onTaskFailed(String task, RuntimeException failure) {
-        throw failure;
+    default void onTaskFailed(String task, Throwable failure) {
+        if (failure instanceof Error error) {
+            throw error;
+        }
+        if (failure instanceof RuntimeException exception) {
+            throw exception;
+        }
+        throw new IllegalStateException(failure);
     }
 }
--- a/core/src/main/java/org/amaranthpick/core/time/TaskGuard.java
+++ b/core/src/main/java/org/amaranthpick/core/time/TaskGuard.java
@@ -9,9 +9,9 @@
 import java.util.function.Supplier;
 
 /**
- * Keeps the repeated tasks of a daemon going after any exception. An odd value in the store or a
- * message could otherwise end a task that plans its next run as its last statement, while the
- * daemon looks sound. What fails is reported to the scheduler, which logs and counts it.
+ * Keeps the repeated tasks of a daemon going after any exception or error. An odd value in the
+ * store or a message could otherwise end a task that plans its next run as its last statement,
+ * while the daemon looks sound. What fails is reported to the scheduler, which logs and counts it.
  */
 public final class TaskGuard {
     private final Scheduler mScheduler;
@@ -26,7 +26,7 @@
     }
 
     /**
-     * Runs a step; reports an exception instead of passing it on.
+     * Runs a step; reports an exception or error instead of passing it on.
      *
      * @param task name of the task, for the log and the metrics
      * @param step step to run
@@ -34,7 +34,7 @@
     public void run(String task, Runnable step) {
         try {
             step.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mScheduler.onTaskFailed(task, e);
         }
     }
@@ -91,7 +91,7 @@
         CompletionStage<T> stage;
         try {
             stage = call.get();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             executor.execute(() -> run(task, () -> rethrow(e), afterwards));
             return;
         }
@@ -112,6 +112,9 @@
         if (failure instanceof RuntimeException exception) {
             throw exception;
         }
+        if (failure instanceof Error error) {
+            throw error;
+        }
         if (failure != null) {
             throw new CompletionException(failure);
         }
--- a/core/src/main/java/org/amaranthpick/core/time/VirtualScheduler.java
+++ b/core/src/main/java/org/amaranthpick/core/time/VirtualScheduler.java
@@ -15,7 +15,7 @@
     private final Instant mOrigin;
     private long mNowNs;
     private long mSequence;
-    private BiConsumer<String, RuntimeException> mOnTaskFailed = Scheduler.super::onTaskFailed;
+    private BiConsumer<String, Throwable> mOnTaskFailed = Scheduler.super::onTaskFailed;
 
     /**
      * Creates a scheduler.
@@ -45,16 +45,17 @@
     }
 
     @Override
-    public void onTaskFailed(String task, RuntimeException failure) {
+    public void onTaskFailed(String task, Throwable failure) {
         mOnTaskFailed.accept(task, failure);
     }
 
     /**
-     * Sets what receives the exceptions of tasks, instead of the caller of {@link #advance}.
+     * Sets what receives the exceptions and errors of tasks, instead of the caller of {@link
+     * #advance}.
      *
      * @param receiver receives the name of the task and the exception
      */
-    public void setOnTaskFailed(BiConsumer<String, RuntimeException> receiver) {
+    public void setOnTaskFailed(BiConsumer<String, Throwable> receiver) {
         mOnTaskFailed = receiver;
     }
 
--- a/core/src/test/java/org/amaranthpick/core/gateway/admission/AdmissionExceptionTest.java
+++ b/core/src/test/java/org/amaranthpick/core/gateway/admission/AdmissionExceptionTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.amaranthpick.core.gateway.EngineModel;
 import org.amaranthpick.core.gateway.GatewayRoute;
 import org.amaranthpick.core.gateway.GatewayService;
@@ -18,7 +19,8 @@
 import org.amaranthpick.core.time.TaskGuard;
 import org.amaranthpick.core.time.VirtualScheduler;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** After an exception in one step the other waiting requests got no decision. */
 class AdmissionExceptionTest {
@@ -49,13 +51,14 @@
     private final List<String> mFailures = new ArrayList<>();
     private double mFill = 1;
     private int mExceptions;
+    private Throwable mThrown;
     private final LoadAdmission mAdmission =
             new LoadAdmission((service, nowNs) -> room(), () -> 1, mScheduler);
 
     private Optional<ModelRoom> room() {
         if (mExceptions > 0) {
             mExceptions--;
-            throw new IllegalStateException("made to throw");
+            rethrow(mThrown);
         }
         double free = 100_000 * (1 - mFill);
         return Optional.of(new ModelRoom(mFill, 10_000, 100_000, free, Optional.empty()));
@@ -86,11 +89,23 @@
         mAdmission.ticket(candidate).request(handler);
     }
 
-    @Test
-    void othersAreSentAfterAHandlerThrew() {
+    static Stream<RuntimeException> exceptions() {
+        return Stream.of(new IllegalStateException("made to throw"));
+    }
+
+    static Stream<Error> errors() {
+        return Stream.of(
+                new AssertionError("made to throw"),
+                new StackOverflowError("made to throw"),
+                new NoClassDefFoundError("made to throw"));
+    }
+
+    @ParameterizedTest
+    @MethodSource({"exceptions", "errors"})
+    void othersAreSentAfterAHandlerThrew(Throwable thrown) {
         request(
                 decision -> {
-                    throw new IllegalStateException("made to throw");
+                    rethrow(thrown);
                 });
         request(mDecisions::add);
         mFill = 0;
@@ -99,8 +114,17 @@
         assertEquals(1, mFailures.size());
     }
 
-    @Test
-    void waitingRequestsAreCheckedAfterACheckThrew() {
+    private static void rethrow(Throwable thrown) {
+        if (thrown instanceof Error error) {
+            throw error;
+        }
+        throw (RuntimeException) thrown;
+    }
+
+    @ParameterizedTest
+    @MethodSource({"exceptions", "errors"})
+    void waitingRequestsAreCheckedAfterACheckThrew(Throwable thrown) {
+        mThrown = thrown;
         request(mDecisions::add);
         mExceptions = 1;
         advance();
--- a/core/src/test/java/org/amaranthpick/core/time/RepeatedTasksTest.java
+++ b/core/src/test/java/org/amaranthpick/core/time/RepeatedTasksTest.java
@@ -64,6 +64,7 @@
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
     private final Map<String, Integer> mFailures = new HashMap<>();
     private boolean mThrows = true;
+    private boolean mErrors;
     private boolean mFutures;
     private int mCalls;
     private int mEvents;
@@ -89,6 +90,13 @@
         return Arguments.of(name, start);
     }
 
+    @ParameterizedTest(name = "{0} {index}")
+    @MethodSource("tasks")
+    void goesOnAfterErrors(String task, Consumer<RepeatedTasksTest> start) {
+        mErrors = true;
+        goesOnAfterExceptions(task, start);
+    }
+
     @ParameterizedTest(name = "{0} {index}")
     @MethodSource("tasks")
     void goesOnAfterExceptions(String task, Consumer<RepeatedTasksTest> start) {
@@ -106,6 +114,9 @@
 
     private void call() {
         mCalls++;
+        if (mThrows && mErrors) {
+            throw new AssertionError("made to throw");
+        }
         if (mThrows) {
             throw new IllegalStateException("made to throw");
         }
--- a/server/src/main/java/org/amaranthpick/server/gateway/OpenExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/OpenExchange.java
@@ -83,7 +83,7 @@
     void run(Runnable step) {
         try {
             step.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mAll.onFailed(e);
             fail("failed, " + e);
         }
@@ -95,7 +95,7 @@
         for (Runnable step : steps) {
             try {
                 step.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 mAll.onFailed(e);
                 sound = false;
             }
@@ -143,7 +143,7 @@
         boolean mayHaveRun = true;
         try {
             mayHaveRun = mAbandon.test(reason);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mAll.onFailed(e);
         }
         answer(mayHaveRun);
@@ -169,7 +169,7 @@
         mExchange.getResponseHeaders().clear();
         try {
             mAll.sendFailure(mExchange, mRequestId, mayHaveRun);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mAll.onFailed(e);
             sendStatus();
         }
@@ -179,7 +179,7 @@
     private void sendStatus() {
         try {
             mExchange.endExchange();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mAll.onFailed(e);
             IoUtils.safeClose(mExchange.getConnection());
         }
--- a/server/src/main/java/org/amaranthpick/server/gateway/OpenExchanges.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/OpenExchanges.java
@@ -92,7 +92,7 @@
         return mScheduler.monotonicNs() + timeLimit.plus(LIMIT_MARGIN).toNanos();
     }
 
-    void onFailed(RuntimeException failure) {
+    void onFailed(Throwable failure) {
         mScheduler.onTaskFailed("request", failure);
     }
 
--- a/server/src/main/java/org/amaranthpick/server/gateway/PathProber.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/PathProber.java
@@ -69,7 +69,7 @@
                 () -> {
                     try {
                         probe(upstream);
-                    } catch (RuntimeException e) {
+                    } catch (RuntimeException | Error e) {
                         mPending.remove(upstream.id());
                         throw e;
                     }
--- a/server/src/main/java/org/amaranthpick/server/time/IoThreadScheduler.java
+++ b/server/src/main/java/org/amaranthpick/server/time/IoThreadScheduler.java
@@ -75,14 +75,14 @@
     }
 
     @Override
-    public void onTaskFailed(String task, RuntimeException failure) {
+    public void onTaskFailed(String task, Throwable failure) {
         mFailures.report(task, failure);
     }
 
     private void runLogged(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mFailures.report("timer", e);
         }
     }
--- a/server/src/main/java/org/amaranthpick/server/time/SystemScheduler.java
+++ b/server/src/main/java/org/amaranthpick/server/time/SystemScheduler.java
@@ -60,14 +60,14 @@
     }
 
     @Override
-    public void onTaskFailed(String task, RuntimeException failure) {
+    public void onTaskFailed(String task, Throwable failure) {
         mFailures.report(task, failure);
     }
 
     private void runLogged(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             mFailures.report("timer", e);
         }
     }
--- a/server/src/main/java/org/amaranthpick/server/time/TaskFailures.java
+++ b/server/src/main/java/org/amaranthpick/server/time/TaskFailures.java
@@ -5,22 +5,50 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 
-/** Logs and counts the failures of tasks. A task that fails at each run is logged now and then. */
+/**
+ * Logs and counts the failures of tasks. A task that fails at each run is logged now and then. An
+ * error of the virtual machine ends the process, except for a stack overflow, which ends with its
+ * step.
+ */
 final class TaskFailures {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final int LOG_PERIOD_S = 5;
     private static final int LOG_BUCKETS = 64;
 
+    /** The same status as that of -XX:+ExitOnOutOfMemoryError. */
+    private static final int EXIT_VIRTUAL_MACHINE_ERROR = 3;
+
     private final LongAdder mCount = new LongAdder();
+    private final IntConsumer mEndProcess;
     private volatile Consumer<String> mListener = task -> {};
 
+    TaskFailures() {
+        this(Runtime.getRuntime()::halt);
+    }
+
+    /**
+     * Creates a receiver of failures.
+     *
+     * @param endProcess ends the process with a status
+     */
+    TaskFailures(IntConsumer endProcess) {
+        mEndProcess = endProcess;
+    }
+
     /** Sets what receives the name of each task that failed. */
     void setListener(Consumer<String> listener) {
         mListener = listener;
     }
 
-    void report(String task, RuntimeException failure) {
+    void report(String task, Throwable failure) {
+        if (failure instanceof VirtualMachineError && !(failure instanceof StackOverflowError)) {
+            // The queue of the log is not written once the process has been halted.
+            System.err.println(
+                    "E task: failed name=\"" + task + "\", the process ends: " + failure);
+            mEndProcess.accept(EXIT_VIRTUAL_MACHINE_ERROR);
+        }
         mCount.increment();
         mListener.accept(task);
         sLogger.atSevere()
--- a/server/src/test/java/org/amaranthpick/server/gateway/OpenExchangesTest.java
+++ b/server/src/test/java/org/amaranthpick/server/gateway/OpenExchangesTest.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.server.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
@@ -11,10 +12,13 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
+import java.util.stream.Stream;
 import org.amaranthpick.core.invariant.Invariant;
 import org.amaranthpick.core.invariant.Invariants;
 import org.amaranthpick.server.Await;
@@ -22,6 +26,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -39,6 +46,7 @@
     private IoThreadScheduler mScheduler;
     private OpenExchanges mOpen;
     private Undertow mListener;
+    private final List<String> mFailures = new CopyOnWriteArrayList<>();
 
     /** What the program does with a request. */
     private interface Step {
@@ -49,6 +57,7 @@
     void start() throws IOException {
         mWorker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         mScheduler = new IoThreadScheduler(mWorker.getIoThread());
+        mScheduler.setOnTaskFailed(mFailures::add);
         GatewayDialect dialect =
                 (GatewayDialect)
                         Proxy.newProxyInstance(
@@ -156,6 +165,56 @@
         awaitViolation(Invariant.EVERY_REQUEST_ENDS);
     }
 
+    static Stream<Arguments> errors() {
+        List<Error> errors =
+                List.of(
+                        new StackOverflowError("made to throw"),
+                        new AssertionError("made to throw"),
+                        new NoClassDefFoundError("made to throw"));
+        return errors.stream()
+                .flatMap(e -> Stream.of(Arguments.of(e, false, 503), Arguments.of(e, true, 502)));
+    }
+
+    /** A request of which a step threw an error was forgotten until its limit. */
+    @ParameterizedTest
+    @MethodSource("errors")
+    void aRequestWhoseStepThrowsAnErrorIsAnsweredAtOnce(Error error, boolean run, int status)
+            throws Exception {
+        listen(
+                (exchange, open) -> {
+                    leave(exchange, open);
+                    if (run) {
+                        open.setAbandon(
+                                reason -> {
+                                    open.onEnd("interrupted");
+                                    return true;
+                                });
+                    }
+                    throw error;
+                });
+        String answer = call();
+        assertTrue(answer.startsWith("HTTP/1.1 " + status + " "), answer);
+        assertEquals(0, mInvariants.total());
+        assertEquals(List.of("request"), mFailures);
+    }
+
+    @Test
+    void aRequestWhoseEndThrowsAnErrorIsAnsweredAsInterrupted() throws Exception {
+        listen(
+                (exchange, open) -> {
+                    leave(exchange, open);
+                    open.setAbandon(
+                            reason -> {
+                                open.onEnd("interrupted");
+                                throw new AssertionError("made to throw");
+                            });
+                    throw new IllegalStateException("made to throw");
+                });
+        String answer = call();
+        assertTrue(answer.startsWith("HTTP/1.1 502 "), answer);
+        assertEquals(0, mInvariants.total());
+    }
+
     @Test
     void aSecondEndIsNoticed() throws Exception {
         listen(
