A queue of events goes on after an event that threw an error

Seen by callers of the own interface: after an Error in one event of a request, or of a shard of claims, nothing of that queue ran any more, and its requests had no end.

Cause: SerialQueue caught RuntimeException only and, left by an Error, took itself to be running for good. Errors are now reported to the owner as exceptions are.

The list of failures in that test holds Throwable, since the queue reports them so.

--- a/core/src/main/java/org/amaranthpick/core/request/Exchange.java
+++ b/core/src/main/java/org/amaranthpick/core/request/Exchange.java
@@ -442,7 +442,7 @@
         permit.close();
     }
 
-    private void onEventFailure(RuntimeException e) {
+    private void onEventFailure(Throwable e) {
         String message = "internal error: " + e;
         post(() -> giveUp(RefusalReason.UPSTREAM_REFUSED, message, Optional.empty()));
     }
--- a/core/src/main/java/org/amaranthpick/core/time/SerialQueue.java
+++ b/core/src/main/java/org/amaranthpick/core/time/SerialQueue.java
@@ -15,15 +15,15 @@
     private static final String LOG_PREFIX = "queue:";
 
     private final Queue<Runnable> mEvents = new ArrayDeque<>(2);
-    private final Consumer<RuntimeException> mOnFailure;
+    private final Consumer<Throwable> mOnFailure;
     private boolean mRunning;
 
     /**
      * Creates an empty queue.
      *
-     * @param onFailure receives an exception that an event threw
+     * @param onFailure receives the exception or error that an event threw
      */
-    public SerialQueue(Consumer<RuntimeException> onFailure) {
+    public SerialQueue(Consumer<Throwable> onFailure) {
         mOnFailure = onFailure;
     }
 
@@ -61,7 +61,7 @@
     private void runAndReportFailure(Runnable event) {
         try {
             event.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             sLogger.atSevere().withCause(e).log("%s event failed", LOG_PREFIX);
             mOnFailure.accept(e);
         }
--- a/core/src/test/java/org/amaranthpick/core/time/SerialQueueTest.java
+++ b/core/src/test/java/org/amaranthpick/core/time/SerialQueueTest.java
@@ -15,7 +15,7 @@
     private static final int THREADS = 4;
     private static final int EVENTS = 20_000;
 
-    private final List<RuntimeException> mFailures = new ArrayList<>();
+    private final List<Throwable> mFailures = new ArrayList<>();
     private final SerialQueue mQueue = new SerialQueue(mFailures::add);
 
     @Test
@@ -71,4 +71,21 @@
         assertEquals(1, mFailures.size());
         assertTrue(mFailures.get(0).getMessage().contains("event failed"));
     }
+
+    /** The queue took itself to be running for good, and ran nothing more. */
+    @Test
+    void eventsRunAfterOneThatThrewAnError() {
+        List<String> order = new ArrayList<>();
+        try {
+            mQueue.post(
+                    () -> {
+                        throw new AssertionError("event failed");
+                    });
+        } catch (AssertionError e) {
+            order.add("thrown");
+        }
+        mQueue.post(() -> order.add("next"));
+        assertEquals(List.of("next"), order);
+        assertEquals(1, mFailures.size());
+    }
 }
