A report that fails is known to all who wait for it

Seen by callers: a stream whose engine had stalled was not moved, if the query of the engine ended exceptionally, nor were other streams that asked within the time for which a report is kept.

Cause: the kept future was completed with results only.

Evidence: CachingEngineControlTest, 1 of 2 failed, now passes. The stand-in control of that test returns one future that the test can end.

--- a/core/src/main/java/org/amaranthpick/core/layers/CachingEngineControl.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/CachingEngineControl.java
@@ -50,7 +50,15 @@
         }
         CompletableFuture<EngineReport> report = new CompletableFuture<>();
         mCached.put(engine.id(), new CachedReport(report, nowNs));
-        mControl.fetchReport(engine).thenAccept(report::complete);
+        mControl.fetchReport(engine)
+                .whenComplete(
+                        (result, failure) -> {
+                            if (failure == null) {
+                                report.complete(result);
+                            } else {
+                                report.completeExceptionally(failure);
+                            }
+                        });
         return report;
     }
 }
--- a/core/src/test/java/org/amaranthpick/core/layers/CachingEngineControlTest.java
+++ b/core/src/test/java/org/amaranthpick/core/layers/CachingEngineControlTest.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.core.layers;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -42,7 +43,17 @@
         assertEquals(2, mControl.mReports);
     }
 
+    /** Whoever waited for the report was never told, and neither were those who asked later. */
+    @Test
+    void aReportThatFailsFailsForAllWhoWaitForIt() {
+        CompletableFuture<EngineReport> first = mReports.fetchReport(mEngine).toCompletableFuture();
+        mControl.mReport.completeExceptionally(new IllegalStateException("made to fail"));
+        assertTrue(first.isCompletedExceptionally());
+        assertTrue(mReports.fetchReport(mEngine).toCompletableFuture().isCompletedExceptionally());
+    }
+
     private static final class CountingControl implements EngineControl {
+        private final CompletableFuture<EngineReport> mReport = new CompletableFuture<>();
         private int mReports;
 
         @Override
@@ -54,7 +65,7 @@
         @Override
         public CompletionStage<EngineReport> fetchReport(UpstreamEntry engine) {
             mReports++;
-            return new CompletableFuture<>();
+            return mReport;
         }
     }
 }
