An outgoing call ends if one of its steps throws

Seen by callers: a request whose call to the upstream failed by an exception, such as a head that can't be written, had no end until the silence limit of the call, which is the rest of the request's time.

Cause: steps of a call run on its I/O thread, which logs what they throw and forgets the call. A step that fails now ends the call, as not sent if no byte was written and no response has begun, else as lost.

--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -82,7 +82,7 @@
 
     /** Sends the request. Called once. */
     public void start() {
-        if (!mPool.execute(this::begin)) {
+        if (!mPool.execute(() -> run(this::begin))) {
             end(new CallEnd.NotSent("the client is closed"));
         }
     }
@@ -99,12 +99,12 @@
 
     /** Goes on reading. */
     public void resume() {
-        mPool.execute(this::doResume);
+        mPool.execute(() -> run(this::doResume));
     }
 
     /** Ends the call and closes its connection. */
     public void cancel() {
-        mPool.execute(() -> fail("cancelled"));
+        mPool.execute(() -> run(() -> fail("cancelled")));
     }
 
     private void begin() {
@@ -181,7 +181,7 @@
         }
         mBody = ByteBuffer.wrap(mRequest.body());
         StreamSinkChannel sink = exchange.getRequestChannel();
-        sink.getWriteSetter().set(this::write);
+        sink.getWriteSetter().set(channel -> run(() -> write(channel)));
         write(sink);
     }
 
@@ -224,7 +224,7 @@
         }
         mConnection.limit().onProgress();
         mSource = exchange.getResponseChannel();
-        mSource.getReadSetter().set(this::read);
+        mSource.getReadSetter().set(channel -> run(() -> read(channel)));
         read(mSource);
     }
 
@@ -331,7 +331,7 @@
         if (mDone) {
             return;
         }
-        boolean unsent = nothingWritten();
+        boolean unsent = mSource == null && nothingWritten();
         mPool.forget(mTaker);
         closeConnection();
         end(unsent ? new CallEnd.NotSent(reason) : new CallEnd.Lost(reason));
@@ -363,7 +363,20 @@
 
     private void runIfOpen(Runnable task) {
         if (!mDone) {
-            task.run();
+            run(task);
+        }
+    }
+
+    /** Runs a step of the call, which ends if it fails: the I/O thread would forget the call. */
+    private void run(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            try {
+                fail("failed, " + e);
+            } finally {
+                mScheduler.onTaskFailed("call", e);
+            }
         }
     }
 
@@ -373,14 +386,14 @@
             @Override
             public void completed(ClientExchange exchange) {
                 if (connection.equals(mConnection)) {
-                    then.accept(exchange);
+                    run(() -> then.accept(exchange));
                 }
             }
 
             @Override
             public void failed(IOException e) {
                 if (connection.equals(mConnection)) {
-                    onFailure(e);
+                    run(() -> onFailure(e));
                 }
             }
         };
@@ -392,13 +405,13 @@
             if (mDone) {
                 mPool.release(connection);
             } else {
-                use(connection, reused);
+                run(() -> use(connection, reused));
             }
         }
 
         @Override
         public void onNoConnection(String reason) {
-            fail(reason);
+            run(() -> fail(reason));
         }
     }
 }
