A search for a path that throws ends its call as not sent

Seen by callers: a request whose search for a path threw, after the direct connection had failed or another daemon had replied, waited for its deadline.

Cause: these steps ran outside the guard of the request; what handled the reply of a relay was swallowed by a future. A check of an upstream that threw was never made again.

The call now ends as not sent with the fault at the own path, so that no upstream is excluded for it, and the request goes on as after any failed send. If the end of a relayed call can't be handled, it counts as lost.

--- a/server/src/main/java/org/amaranthpick/server/gateway/UpstreamCall.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/UpstreamCall.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.amaranthpick.core.reach.PathFault;
 import org.amaranthpick.core.reach.PathSearch;
 import org.amaranthpick.core.reach.RelayReply;
@@ -53,7 +54,7 @@
     }
 
     void start() {
-        follow(mSearch.first(mConnector.nowNs()), "the direct path is broken");
+        search(() -> follow(mSearch.first(mConnector.nowNs()), "the direct path is broken"));
     }
 
     void pause() {
@@ -76,6 +77,21 @@
         return mRelay;
     }
 
+    /** Runs a step of the search for a path; if it fails, nothing has been sent. */
+    private void search(Runnable step) {
+        run(step, reason -> new CallEnd.NotSent(reason, PathFault.OWN_PATH));
+    }
+
+    /** Runs a step; if it fails, the call ends. Nobody else would notice before the deadline. */
+    private void run(Runnable step, Function<String, CallEnd> endIfFailed) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            mConnector.onStepFailed(e);
+            mListener.onEnd(endIfFailed.apply("the search for a path failed, " + e));
+        }
+    }
+
     private void follow(PathSearch.Step step, String reason) {
         if (step instanceof PathSearch.Step.Direct) {
             startCall(
@@ -84,7 +100,7 @@
             mConnector.askRelay(
                     relay.peer(),
                     new RelayRequest(mUpstream.id(), false),
-                    reply -> onRelayReply(relay.peer(), reply, reason));
+                    reply -> search(() -> onRelayReply(relay.peer(), reply, reason)));
         } else if (step instanceof PathSearch.Step.Stop stop) {
             mListener.onEnd(new CallEnd.NotSent(reason, stop.fault()));
             if (stop.fault() == PathFault.UNCONFIRMED) {
@@ -194,9 +210,9 @@
         @Override
         public void onEnd(CallEnd end) {
             if (!mCancelled && end instanceof CallEnd.NotSent unsent) {
-                mOnFailed.accept(unsent.reason());
+                search(() -> mOnFailed.accept(unsent.reason()));
             } else if (!mCancelled && mQuery && !mAnswered && end instanceof CallEnd.Lost lost) {
-                mOnFailed.accept(lost.reason());
+                search(() -> mOnFailed.accept(lost.reason()));
             } else {
                 mListener.onEnd(end);
             }
@@ -226,6 +242,10 @@
 
         @Override
         public void onEnd(CallEnd end) {
+            run(() -> onRelayEnd(end), CallEnd.Lost::new);
+        }
+
+        private void onRelayEnd(CallEnd end) {
             mConnector.relays().onEnded(mPeer);
             if (mRelayResult.filter(UpstreamConnector.RESULT_NOT_SENT::equals).isPresent()) {
                 RelayReply.Status status = RelayReply.Status.UNAVAILABLE;
--- a/server/src/main/java/org/amaranthpick/server/gateway/UpstreamConnector.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/UpstreamConnector.java
@@ -153,6 +153,11 @@
         return mMetrics;
     }
 
+    /** Records that a step of a call failed. */
+    void onStepFailed(Throwable failure) {
+        mScheduler.onTaskFailed("path", failure);
+    }
+
     void onAnswered(UpstreamEntry upstream) {
         mMetrics.onPathAnswered();
         mPaths.onAnswered(upstream.id(), nowNs());
@@ -178,7 +183,17 @@
     void check(UpstreamEntry upstream) {
         if (mChecked.add(upstream.id())) {
             PathSearch search = search(upstream, true);
-            followCheck(upstream, search, search.onDirectFailed(nowNs()));
+            runCheck(upstream, () -> followCheck(upstream, search, search.onDirectFailed(nowNs())));
+        }
+    }
+
+    /** Runs a step of a check; if it fails, the upstream can be checked again. */
+    private void runCheck(UpstreamEntry upstream, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            mChecked.remove(upstream.id());
+            onStepFailed(e);
         }
     }
 
@@ -187,7 +202,10 @@
             askRelay(
                     relay.peer(),
                     new RelayRequest(upstream.id(), true),
-                    reply -> onChecked(upstream, search, relay.peer(), reply));
+                    reply ->
+                            runCheck(
+                                    upstream,
+                                    () -> onChecked(upstream, search, relay.peer(), reply)));
             return;
         }
         mChecked.remove(upstream.id());
@@ -239,7 +257,7 @@
         }
         try {
             return Optional.ofNullable(MAPPER.readValue(reply.body(), RelayReply.class));
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             sLogger.atInfo().log("relay: peer=%s unreadable answer: %s", peer, e.getMessage());
             return Optional.empty();
         }
