A stream is checked again after one check of it failed

Seen by callers: a stream whose engine stalled was never moved, and ended at its deadline, if one earlier check of it had thrown or the query of its engine had ended exceptionally.

Cause: the check plans the next one as its last statement, and what handled the report was swallowed by a future.

A failed check is logged and counted, and the stream is checked again after a longer silence, as after a false alarm. A query that failed counts as an engine that sends no report. Weighed: ending the request, as a step of the request does. A check only watches the attempt, which may be sound, and an answer must not end sooner for it.

--- a/server/src/main/java/org/amaranthpick/server/gateway/StallDetector.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/StallDetector.java
@@ -15,6 +15,7 @@
  */
 final class StallDetector {
     private static final double NS_PER_MS = 1e6;
+    private static final String TASK = "stall check";
 
     /** Multiple of the target latency after which an engine that does not report is given up. */
     private static final int MAX_TARGET_LATENCIES_UNANSWERED = 2;
@@ -115,7 +116,22 @@
     private void schedule(Duration delay) {
         mTimer.cancel();
         if (mRequest.route().retryable()) {
-            mTimer = mContext.scheduler().schedule(delay, this::check);
+            mTimer = mContext.scheduler().schedule(delay, () -> run(this::check));
+        }
+    }
+
+    /**
+     * Runs a step of the detection. If it fails, the attempt goes on, which may be sound, and is
+     * checked again.
+     */
+    private void run(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            mContext.scheduler().onTaskFailed(TASK, e);
+            if (mAttempt.isPresent()) {
+                backOff();
+            }
         }
     }
 
@@ -135,8 +151,28 @@
         }
         mContext.engines()
                 .fetchReport(attempt.target().upstream())
-                .thenAccept(
-                        report -> mContext.scheduler().execute(() -> onReport(attempt, report)));
+                .whenComplete(
+                        (report, failure) ->
+                                mContext.scheduler()
+                                        .execute(
+                                                () ->
+                                                        run(
+                                                                () ->
+                                                                        onReply(
+                                                                                attempt, report,
+                                                                                failure))));
+    }
+
+    private void onReply(ForwardAttempt attempt, EngineReport report, Throwable failure) {
+        if (failure == null) {
+            onReport(attempt, report);
+            return;
+        }
+        mContext.scheduler().onTaskFailed(TASK, failure);
+        onReport(
+                attempt,
+                new EngineReport.Absent(
+                        "the query failed, " + failure, EngineReport.Absent.Cause.NO_REPORT));
     }
 
     private void onReport(ForwardAttempt attempt, EngineReport report) {
