Metric and log of connections that end without a whole answer

amaranthpick_gateway_unanswered_total{reason,planned} counts ends without a whole answer after the request was read; reasons broken, gone, unwritten, failed, closed; planned work stop, configuration (3 s), none. It is counted where the exchange or its connection ends (OpenExchanges), so that all ways out of an exchange are covered. Undertow reports a response as complete also when its connection is closed in the middle, so the check is whether the connection is open when the exchange completes.

Lines of broken, gone, interrupted, timeout and unread end with config_now= and config_age_ms=; unwritten, failed and closed have a line `unanswered:`. Lines of answered requests are as before.

OpenExchangesTest: the constructor takes one argument more; 9 cases are new. GatewayMetrics.text() is there for that test.

--- a/server/src/main/java/org/amaranthpick/server/gateway/ConfigurationFollower.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ConfigurationFollower.java
@@ -13,11 +13,13 @@
 
     private final GatewayDecoder mDecoder;
     private final GatewayMetrics mMetrics;
+    private final PlannedWork mPlanned;
     private Optional<GatewayConfiguration> mCurrent = Optional.empty();
 
-    ConfigurationFollower(GatewayDecoder decoder, GatewayMetrics metrics) {
+    ConfigurationFollower(GatewayDecoder decoder, GatewayMetrics metrics, PlannedWork planned) {
         mDecoder = decoder;
         mMetrics = metrics;
+        mPlanned = planned;
     }
 
     Optional<GatewayConfiguration> current() {
@@ -36,6 +38,7 @@
         if (next.isPresent() && next.get().version() > currentVersion) {
             mCurrent = next;
             mMetrics.onConfigurationVersion(next.get().version());
+            mPlanned.onConfiguration(next.get().version());
             sLogger.atInfo().log(
                     "config: in force version=%d before=%d routes=%d services=%d revision=%d",
                     next.get().version(),
--- a/server/src/main/java/org/amaranthpick/server/gateway/ExchangeLog.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ExchangeLog.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.Set;
 import org.amaranthpick.core.gateway.Target;
 import org.amaranthpick.core.register.UpstreamEntry;
 
@@ -9,10 +10,16 @@
 final class ExchangeLog {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
+    /** Outcomes of requests to which no upstream's whole answer was passed on. */
+    private static final Set<String> UNANSWERED =
+            Set.of("broken", "gone", "interrupted", "timeout");
+
     private final ForwardedRequest mRequest;
+    private final PlannedWork mPlanned;
 
-    ExchangeLog(ForwardedRequest request) {
+    ExchangeLog(ForwardedRequest request, PlannedWork planned) {
         mRequest = request;
+        mPlanned = planned;
     }
 
     /** Logs an observation of an upstream's health. */
@@ -22,17 +29,22 @@
                 upstream.id(), upstream.address(), reason, mRequest.metadata().requestId());
     }
 
-    /** Logs an attempt or the outcome of the request. */
+    /**
+     * Logs an attempt or the outcome of the request. One without an answer also names the version
+     * of the configuration that is in force at its end.
+     */
     void logRequest(String outcome, int sends, Duration elapsed, String detail) {
         sLogger.atInfo().log(
-                "request: id=%s outcome=%s route=%s config=%d sends=%d elapsed_ms=%d detail=\"%s\"",
+                "request: id=%s outcome=%s route=%s config=%d sends=%d elapsed_ms=%d"
+                        + " detail=\"%s\"%s",
                 mRequest.metadata().requestId(),
                 outcome,
                 mRequest.route().name(),
                 mRequest.configVersion(),
                 sends,
                 elapsed.toMillis(),
-                detail);
+                detail,
+                UNANSWERED.contains(outcome) ? " " + mPlanned.describe() : "");
     }
 
     /** Logs what the request was doing at an upstream whose response is lost. */
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -83,7 +83,7 @@
         mFailures =
                 new FailureResponse.Selector(
                         exchange, request, responses, mSends, mCrashGuard, mAdmission);
-        mLog = new ExchangeLog(request);
+        mLog = new ExchangeLog(request, context.planned());
         mHealth = new HealthRecorder(context, mLog);
     }
 
--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -62,6 +62,7 @@
     private final XnioWorker mWorker;
     private final GatewayListeners mListeners;
     private final StopSequence mStop;
+    private final PlannedWork mPlanned;
     private final IoThreadScheduler mScheduler;
     private final ConfigurationFollower mConfiguration;
     private final RegisterFollower mRegisterFollower;
@@ -112,13 +113,14 @@
         mWorker = worker;
         mScheduler = scheduler;
         mStop = new StopSequence(scheduler, settings.shutdownGrace());
+        mPlanned = new PlannedWork(scheduler);
         mListeners = new GatewayListeners(worker);
         mRandom = random;
         UpstreamRegister register = new UpstreamRegister();
         UpstreamHealth health = new UpstreamHealth();
         WriterTokens tokens = new WriterTokens(settings.host(), random.nextLong());
         mDaemonCounter = createDaemonCounter(store, tokens, random);
-        mConfiguration = new ConfigurationFollower(decoder, mMetrics);
+        mConfiguration = new ConfigurationFollower(decoder, mMetrics, mPlanned);
         mRegisterFollower =
                 new RegisterFollower(decoder, register, scheduler, this::onStoreRestored);
         mStoreFollowing = createStoreFollowing(store, pacing, decoder);
@@ -290,7 +292,8 @@
                 BodyMemory.ofHeap(Runtime.getRuntime().maxMemory()),
                 mMetrics,
                 mRandom,
-                mStop);
+                mStop,
+                mPlanned);
     }
 
     private LeaseContext leaseContext(
@@ -373,6 +376,7 @@
                 mReach,
                 () -> {
                     mDraining = true;
+                    mPlanned.onStop();
                     mLease.release();
                 });
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayContext.java
@@ -35,6 +35,7 @@
  * @param metrics counters and histograms
  * @param random random source
  * @param stop planned stop of this daemon
+ * @param planned planned work that is within reach
  */
 record GatewayContext(
         String host,
@@ -55,4 +56,5 @@
         BodyMemory answerMemory,
         GatewayMetrics metrics,
         RandomGenerator random,
-        StopSequence stop) {}
+        StopSequence stop,
+        PlannedWork planned) {}
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayHandler.java
@@ -49,7 +49,12 @@
         mConfiguration = configuration;
         mResponses = responses;
         mBodyMemory = bodyMemory;
-        mOpen = new OpenExchanges(context.scheduler(), responses, invariants);
+        mOpen =
+                new OpenExchanges(
+                        context.scheduler(),
+                        responses,
+                        invariants,
+                        new UnansweredRequests(context.planned(), context.metrics()));
     }
 
     /** Starts draining: closes each connection after its next response. */
@@ -220,8 +225,10 @@
                     @Override
                     public void onLost(IOException e) {
                         sLogger.atInfo().log(
-                                "request: id=%s outcome=unread detail=\"%s\"",
-                                metadata.requestId(), e.getMessage());
+                                "request: id=%s outcome=unread detail=\"%s\" %s",
+                                metadata.requestId(),
+                                e.getMessage(),
+                                mContext.planned().describe());
                         open.onEnd("unread");
                         exchange.setPersistent(false);
                         exchange.setStatusCode(StatusCodes.BAD_REQUEST);
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -10,7 +10,8 @@
 import io.undertow.util.Headers;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.function.IntSupplier;
@@ -50,6 +51,14 @@
                             "Sends whose response was lost, by kind of route and whether it had begun")
                     .labelNames("kind", "begun")
                     .register(mRegistry);
+    private final Counter mUnansweredCount =
+            Counter.builder()
+                    .name("amaranthpick_gateway_unanswered_total")
+                    .help(
+                            "Connections that ended without a whole answer to a request that was"
+                                    + " read, by reason and planned work within reach")
+                    .labelNames("reason", "planned")
+                    .register(mRegistry);
     private final Counter mPathFailureCount =
             Counter.builder()
                     .name("amaranthpick_gateway_direct_paths_failed_total")
@@ -157,6 +166,10 @@
         mLossCount.labelValues(label(kind), Boolean.toString(begun)).inc();
     }
 
+    void onUnanswered(UnansweredRequests.Reason reason, PlannedWork.Kind planned) {
+        mUnansweredCount.labelValues(label(reason), label(planned)).inc();
+    }
+
     void onPathFailed() {
         mPathFailureCount.inc();
     }
@@ -231,12 +244,21 @@
     }
 
     /** Responds with all metrics in the Prometheus text format. */
-    void write(HttpServerExchange exchange) throws IOException {
+    void write(HttpServerExchange exchange) {
+        exchange.getResponseHeaders()
+                .put(Headers.CONTENT_TYPE, PrometheusTextFormatWriter.CONTENT_TYPE);
+        exchange.getResponseSender().send(text(), StandardCharsets.UTF_8);
+    }
+
+    /** Returns all metrics in the Prometheus text format. */
+    String text() {
         ByteArrayOutputStream text = new ByteArrayOutputStream();
-        PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
-        writer.write(text, mRegistry.scrape());
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, writer.getContentType());
-        exchange.getResponseSender().send(ByteBuffer.wrap(text.toByteArray()));
+        try {
+            PrometheusTextFormatWriter.create().write(text, mRegistry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toString(StandardCharsets.UTF_8);
     }
 
     private static String label(Enum<?> value) {
--- a/server/src/main/java/org/amaranthpick/server/gateway/OpenExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/OpenExchange.java
@@ -16,6 +16,7 @@
     private final HttpServerExchange mExchange;
     private final OpenExchanges mAll;
     private String mRequestId = "";
+    private String mOutcome = "none";
 
     /** Ends the request as interrupted or not run; returns whether it may have run. */
     private Predicate<String> mAbandon = this::endNotSent;
@@ -25,6 +26,7 @@
     private boolean mEnded;
     private boolean mFailed;
     private boolean mOverdue;
+    private boolean mWritten;
 
     OpenExchange(HttpServerExchange exchange, OpenExchanges all) {
         mExchange = exchange;
@@ -76,6 +78,7 @@
                         mRequestId,
                         outcome);
         mEnded = true;
+        mOutcome = outcome;
         mLimitNs = OptionalLong.of(mAll.limitNs(Duration.ZERO));
     }
 
@@ -103,6 +106,32 @@
         return sound;
     }
 
+    /**
+     * Records whether the answer is whole: its end also counts as sent if the connection closes.
+     */
+    void onComplete() {
+        mWritten = mExchange.getConnection().isOpen();
+    }
+
+    /** Records that the exchange is over or its connection closed, if it has no whole answer. */
+    void recordUnanswered(UnansweredRequests unanswered) {
+        if (mRead && !mWritten) {
+            unanswered.onEnd(mRequestId, unansweredReason(), mOutcome);
+        }
+    }
+
+    private UnansweredRequests.Reason unansweredReason() {
+        if (mFailed) {
+            return UnansweredRequests.Reason.FAILED;
+        }
+        return switch (mOutcome) {
+            case "none" -> UnansweredRequests.Reason.CLOSED;
+            case "broken" -> UnansweredRequests.Reason.BROKEN;
+            case "gone" -> UnansweredRequests.Reason.GONE;
+            default -> UnansweredRequests.Reason.UNWRITTEN;
+        };
+    }
+
     /** Handles that the exchange is over or its connection closed. */
     void checkEnded() {
         mAll.invariants()
--- a/server/src/main/java/org/amaranthpick/server/gateway/OpenExchanges.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/OpenExchanges.java
@@ -31,14 +31,20 @@
     private final IoThreadScheduler mScheduler;
     private final GatewayResponses mResponses;
     private final Invariants mInvariants;
+    private final UnansweredRequests mUnanswered;
     private final Set<OpenExchange> mOpen = new HashSet<>();
     private final Set<OpenExchange> mClosed = new HashSet<>();
     private boolean mCheckScheduled;
 
-    OpenExchanges(IoThreadScheduler scheduler, GatewayResponses responses, Invariants invariants) {
+    OpenExchanges(
+            IoThreadScheduler scheduler,
+            GatewayResponses responses,
+            Invariants invariants,
+            UnansweredRequests unanswered) {
         mScheduler = scheduler;
         mResponses = responses;
         mInvariants = invariants;
+        mUnanswered = unanswered;
     }
 
     /** Registers a request whose head has been read, until its answer or its connection ends. */
@@ -50,6 +56,7 @@
         exchange.addExchangeCompleteListener(
                 (completed, next) -> {
                     watch.cancel();
+                    open.onComplete();
                     close(open);
                     next.proceed();
                 });
@@ -59,7 +66,12 @@
 
     /** The others that watch the connection may not have heard of its end yet. */
     private void close(OpenExchange open) {
-        if (mOpen.remove(open) && !open.isEnded()) {
+        if (!mOpen.remove(open)) {
+            return;
+        }
+        if (open.isEnded()) {
+            open.recordUnanswered(mUnanswered);
+        } else {
             mClosed.add(open);
         }
     }
@@ -122,6 +134,7 @@
                 .run(
                         "open requests",
                         () -> {
+                            mClosed.forEach(open -> open.recordUnanswered(mUnanswered));
                             mClosed.forEach(OpenExchange::checkEnded);
                             mClosed.clear();
                             List.copyOf(mOpen).forEach(open -> open.checkLimit(nowNs));
--- a/server/src/test/java/org/amaranthpick/server/gateway/OpenExchangesTest.java
+++ b/server/src/test/java/org/amaranthpick/server/gateway/OpenExchangesTest.java
@@ -1,16 +1,22 @@
 package org.amaranthpick.server.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
@@ -22,6 +28,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -35,6 +44,7 @@
     private static final String REQUEST = "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 
     private final Invariants mInvariants = new Invariants();
+    private final GatewayMetrics mMetrics = new GatewayMetrics(mInvariants);
     private XnioWorker mWorker;
     private IoThreadScheduler mScheduler;
     private OpenExchanges mOpen;
@@ -42,7 +52,7 @@
 
     /** What the program does with a request. */
     private interface Step {
-        void run(HttpServerExchange exchange, OpenExchange open);
+        void run(HttpServerExchange exchange, OpenExchange open) throws IOException;
     }
 
     @BeforeEach
@@ -59,7 +69,8 @@
                 new OpenExchanges(
                         mScheduler,
                         new GatewayResponses(dialect, new SplittableRandom(1)),
-                        mInvariants);
+                        mInvariants,
+                        new UnansweredRequests(new PlannedWork(mScheduler), mMetrics));
     }
 
     @AfterEach
@@ -76,12 +87,20 @@
                         .setHandler(
                                 exchange -> {
                                     OpenExchange open = mOpen.open(exchange);
-                                    open.run(() -> step.run(exchange, open));
+                                    open.run(() -> run(step, exchange, open));
                                 })
                         .build();
         mListener.start();
     }
 
+    private static void run(Step step, HttpServerExchange exchange, OpenExchange open) {
+        try {
+            step.run(exchange, open);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private Socket connect() throws IOException {
         Socket socket = new Socket();
         socket.connect((InetSocketAddress) mListener.getListenerInfo().get(0).getAddress());
@@ -156,6 +175,59 @@
         awaitViolation(Invariant.EVERY_REQUEST_ENDS);
     }
 
+    /** No metric counted the connections that end without a whole answer. */
+    @ParameterizedTest
+    @EnumSource(UnansweredRequests.Reason.class)
+    void anEndWithoutAWholeAnswerIsCounted(UnansweredRequests.Reason reason) throws Exception {
+        listen(
+                (exchange, open) -> {
+                    leave(exchange, open);
+                    exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, 100);
+                    exchange.getResponseChannel().write(ByteBuffer.wrap(new byte[10]));
+                    end(exchange, open, reason);
+                });
+        call();
+        String line = "{planned=\"none\",reason=\"" + label(reason) + "\"} 1.0";
+        Await.until(() -> unanswered().equals(List.of(line)), line);
+    }
+
+    private static void end(
+            HttpServerExchange exchange, OpenExchange open, UnansweredRequests.Reason reason) {
+        switch (reason) {
+            case BROKEN, GONE -> open.onEnd(label(reason));
+            case UNWRITTEN -> open.onEnd("answered");
+            case FAILED -> throw new IllegalStateException("made to throw");
+            case CLOSED -> {}
+        }
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
+    private static String label(UnansweredRequests.Reason reason) {
+        return reason.name().toLowerCase(Locale.ROOT);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"answered", "refused", "interrupted", "rejected"})
+    void aWholeAnswerIsNotCounted(String outcome) throws Exception {
+        listen(
+                (exchange, open) -> {
+                    open.onEnd(outcome);
+                    exchange.getResponseSender().send("whole");
+                });
+        assertTrue(call().endsWith("whole"));
+        Await.until(() -> onIoThread(mOpen::count) == 0, "the end of the exchange");
+        assertEquals(List.of(), unanswered());
+    }
+
+    private List<String> unanswered() {
+        String name = "amaranthpick_gateway_unanswered_total";
+        return mMetrics.text()
+                .lines()
+                .filter(line -> line.startsWith(name + "{"))
+                .map(line -> line.substring(name.length()))
+                .toList();
+    }
+
     @Test
     void aSecondEndIsNoticed() throws Exception {
         listen(
