Command cuts: rates of unanswered requests beside planned work, from logs

Cause: the rule LOST compares how often a host cuts connections beside a configuration with the rest of the time; nobody could compute that from logs.

`amaranthpick cuts LOG...` reads logs of one or several hosts line by line, keeps a few numbers for each host, and prints requests and cuts within reach of a version, within reach of a stop and elsewhere, for each host, each log and all logs, with a mark where cuts beside a configuration are over three times as frequent. The rate is per request: the load beside a change differs from the rest of the time. Lines may begin with a time, a host and a level, as the platform's logs do; the daemon's own lines have no times.

--- a/tools/src/main/java/org/amaranthpick/tools/Main.java
+++ b/tools/src/main/java/org/amaranthpick/tools/Main.java
@@ -24,6 +24,7 @@
             StatusCommand.class,
             ExperimentCommand.class,
             ExplainCommand.class,
+            CutsCommand.class,
             DrainCommand.class,
             DemoCommand.class,
             SoakCommand.class,
