--- a/server/src/test/java/org/amaranthpick/server/gateway/StallDetectorTest.java
+++ b/server/src/test/java/org/amaranthpick/server/gateway/StallDetectorTest.java
@@ -129,6 +129,7 @@
                 null,
                 null,
                 null,
+                null,
                 null);
     }
 
