A lack of memory for buffers outside the heap ends a step, not the process

Heap that is used up ends it by -XX:+ExitOnOutOfMemoryError before that; what a step can throw is the error of the JDK's buffer classes. Such memory comes back as buffers are released, so only the request whose step needed it ends, with its true outcome; to end the process would cut all the others. TaskFailuresTest: one case more, the bound message of the JDK.

--- a/server/src/main/java/org/amaranthpick/server/time/TaskFailures.java
+++ b/server/src/main/java/org/amaranthpick/server/time/TaskFailures.java
@@ -9,8 +9,8 @@
 
 /**
  * Logs and counts the failures of tasks. A task that fails at each run is logged now and then. An
- * error of the virtual machine ends the process, except for a stack overflow, which ends with its
- * step.
+ * error of the virtual machine ends the process, except for a stack overflow and a lack of memory
+ * for buffers outside the heap, which end with their step.
  */
 final class TaskFailures {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
@@ -20,6 +20,9 @@
     /** The same status as that of -XX:+ExitOnOutOfMemoryError. */
     private static final int EXIT_VIRTUAL_MACHINE_ERROR = 3;
 
+    /** Part of the message of the error that the buffer classes of the JDK throw. */
+    private static final String DIRECT_MEMORY = "direct buffer memory";
+
     private final LongAdder mCount = new LongAdder();
     private final IntConsumer mEndProcess;
     private volatile Consumer<String> mListener = task -> {};
@@ -43,7 +46,7 @@
     }
 
     void report(String task, Throwable failure) {
-        if (failure instanceof VirtualMachineError && !(failure instanceof StackOverflowError)) {
+        if (failure instanceof VirtualMachineError && !endsWithItsStep(failure)) {
             // The queue of the log is not written once the process has been halted.
             System.err.println(
                     "E task: failed name=\"" + task + "\", the process ends: " + failure);
@@ -58,6 +61,15 @@
                 .log("task: failed name=\"%s\"", task);
     }
 
+    /** Returns whether an error is over once its step is; buffers outside the heap are released. */
+    private static boolean endsWithItsStep(Throwable failure) {
+        String message = failure.getMessage();
+        return failure instanceof StackOverflowError
+                || (failure instanceof OutOfMemoryError
+                        && message != null
+                        && message.contains(DIRECT_MEMORY));
+    }
+
     long count() {
         return mCount.sum();
     }
--- a/server/src/test/java/org/amaranthpick/server/time/TaskFailuresTest.java
+++ b/server/src/test/java/org/amaranthpick/server/time/TaskFailuresTest.java
@@ -18,6 +18,7 @@
         return Stream.of(
                 new IllegalStateException(),
                 new StackOverflowError(),
+                new OutOfMemoryError("Cannot reserve 16384 bytes of direct buffer memory"),
                 new AssertionError(),
                 new NoClassDefFoundError(),
                 new ExceptionInInitializerError());
