A relayed request that throws is answered with its true outcome

Seen by callers: a request that another host relayed, and of which a step threw there, was answered 504 at its time limit, 3 or 10 s later, though it had not run, or had been answered by its engine. Nobody could send it again in time.

Cause: RelayHandler and RelayedExchange had no guard. The I/O thread logged what a step threw and forgot the request; it was counted as in progress for good, which in the end refuses every path.

Each step runs in a guard that is counted as "relay" or "relayed request". A failed request ends as not-sent if its call had not begun to send, else as lost; a response that has begun is broken off by closing its connection. A failed request for a path is answered 500 at once, so that the other daemon goes on to the next one. What is in progress is now counted by the sets of requests, which can't drift.

The answer to a failed request for a path is held by no test.

--- a/server/src/main/java/org/amaranthpick/server/gateway/RelayHandler.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayHandler.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.Executor;
 import org.amaranthpick.core.reach.RelayAdmission;
 import org.amaranthpick.core.reach.RelayReply;
 import org.amaranthpick.core.reach.RelayRequest;
@@ -23,6 +24,7 @@
 import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.server.http.HttpConnector;
 import org.amaranthpick.server.http.OpenedConnection;
+import org.xnio.IoUtils;
 
 /**
  * Relays requests of other daemons to registered upstreams. A daemon first asks for a connection;
@@ -50,8 +52,8 @@
     private final Map<String, HeldConnection> mHeld = new HashMap<>();
     private final PendingResponses mOpen = new PendingResponses();
     private final Set<RelayedExchange> mRelayed = new HashSet<>();
+    private final Set<HeldConnection> mReading = new HashSet<>();
     private int mOpening;
-    private int mInProgress;
     private boolean mInterrupted;
     private boolean mLeaving;
 
@@ -112,12 +114,17 @@
             return;
         }
         held.expiry().cancel();
-        mInProgress++;
+        mReading.add(held);
+        Executor steps = step -> run(step, () -> dropFailed(exchange, held));
+        steps.execute(() -> readBody(exchange, held, steps));
+    }
+
+    private void readBody(HttpServerExchange exchange, HeldConnection held, Executor steps) {
         BodyReader.read(
                 exchange,
                 mContext.maxBodyBytes().getAsLong(),
                 mContext.bodyMemory(),
-                Runnable::run,
+                steps,
                 new BodyReader.Listener() {
                     @Override
                     public void onBody(byte[] body) {
@@ -143,6 +150,7 @@
     }
 
     private void send(HttpServerExchange exchange, HeldConnection held, byte[] body) {
+        mReading.remove(held);
         if (mInterrupted) {
             dropUnsent(exchange, held);
             return;
@@ -154,11 +162,29 @@
     }
 
     private void dropUnsent(HttpServerExchange exchange, HeldConnection held) {
-        mInProgress--;
+        mReading.remove(held);
         held.connection().close();
         endUnsent(exchange);
     }
 
+    private void dropFailed(HttpServerExchange exchange, HeldConnection held) {
+        if (exchange.isResponseStarted()) {
+            IoUtils.safeClose(exchange.getConnection());
+        } else {
+            dropUnsent(exchange, held);
+        }
+    }
+
+    /** Runs a step; if it fails, the other daemon is answered at once. */
+    private void run(Runnable step, Runnable answer) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            mContext.scheduler().onTaskFailed("relay", e);
+            answer.run();
+        }
+    }
+
     private static void endUnsent(HttpServerExchange exchange) {
         exchange.getResponseHeaders()
                 .put(UpstreamConnector.RESULT_HEADER, UpstreamConnector.RESULT_NOT_SENT);
@@ -167,7 +193,6 @@
 
     private void onEnded(RelayedExchange exchange) {
         mRelayed.remove(exchange);
-        mInProgress--;
     }
 
     private boolean isFromDaemon(HttpServerExchange exchange) {
@@ -209,7 +234,9 @@
 
     private void open(HttpServerExchange exchange, byte[] body) throws IOException {
         RelayRequest request = UpstreamConnector.readRequest(body);
-        exchange.dispatch(mContext.scheduler(), () -> open(exchange, request));
+        exchange.dispatch(
+                mContext.scheduler(),
+                () -> run(() -> open(exchange, request), () -> endFailed(exchange)));
     }
 
     private void open(HttpServerExchange exchange, RelayRequest request) {
@@ -222,26 +249,40 @@
                         request.upstreamId(),
                         upstream.isPresent(),
                         mLeaving,
-                        mInProgress + mHeld.size() + mOpening);
+                        mReading.size() + mRelayed.size() + mHeld.size() + mOpening);
         if (refusal.isPresent()) {
             reply(exchange, RelayReply.refused(refusal.get()));
             return;
         }
         mOpening++;
-        connect(
-                upstream.get(),
-                connection -> {
-                    mOpening--;
-                    if (connection.isEmpty()) {
-                        findFault(exchange, upstream.get());
-                    } else if (request.check()) {
-                        connection.get().close();
-                        reply(exchange, new RelayReply(RelayReply.Status.OPENED, ""));
-                    } else {
-                        String path = hold(upstream.get(), connection.get());
-                        reply(exchange, new RelayReply(RelayReply.Status.OPENED, path));
-                    }
-                });
+        try {
+            connect(
+                    exchange,
+                    upstream.get(),
+                    connection -> {
+                        mOpening--;
+                        onConnected(exchange, request, upstream.get(), connection);
+                    });
+        } catch (RuntimeException | Error e) {
+            mOpening--;
+            throw e;
+        }
+    }
+
+    private void onConnected(
+            HttpServerExchange exchange,
+            RelayRequest request,
+            UpstreamEntry upstream,
+            Optional<OpenedConnection> connection) {
+        if (connection.isEmpty()) {
+            findFault(exchange, upstream);
+        } else if (request.check()) {
+            connection.get().close();
+            reply(exchange, new RelayReply(RelayReply.Status.OPENED, ""));
+        } else {
+            String path = hold(upstream, connection.get());
+            reply(exchange, new RelayReply(RelayReply.Status.OPENED, path));
+        }
     }
 
     /** Connects to an upstream that answered lately, to learn whether this daemon is cut off. */
@@ -255,6 +296,7 @@
             return;
         }
         connect(
+                exchange,
                 witness.get(),
                 connection -> {
                     connection.ifPresent(OpenedConnection::close);
@@ -266,19 +308,33 @@
         return RelayReply.refused(mAdmission.onOpenFailed(upstream.id(), reachedWitness));
     }
 
-    private void connect(UpstreamEntry upstream, ConnectionReceiver receiver) {
+    private static void endFailed(HttpServerExchange exchange) {
+        if (exchange.isResponseStarted()) {
+            IoUtils.safeClose(exchange.getConnection());
+        } else {
+            end(exchange, StatusCodes.INTERNAL_SERVER_ERROR);
+        }
+    }
+
+    private void connect(
+            HttpServerExchange exchange, UpstreamEntry upstream, ConnectionReceiver receiver) {
         mConnector.open(
                 URI.create("http://" + upstream.address()),
                 CONNECT_TIMEOUT,
                 new OpenedConnection.Listener() {
                     @Override
                     public void onOpened(OpenedConnection connection) {
-                        receiver.receive(Optional.of(connection));
+                        run(
+                                () -> receiver.receive(Optional.of(connection)),
+                                () -> {
+                                    connection.close();
+                                    endFailed(exchange);
+                                });
                     }
 
                     @Override
                     public void onFailed(String reason) {
-                        receiver.receive(Optional.empty());
+                        run(() -> receiver.receive(Optional.empty()), () -> endFailed(exchange));
                     }
                 });
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/RelayedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayedExchange.java
@@ -19,6 +19,7 @@
 import org.amaranthpick.server.http.OutgoingCall;
 import org.amaranthpick.server.http.OutgoingRequest;
 import org.amaranthpick.server.http.ResponseListener;
+import org.xnio.IoUtils;
 
 /**
  * One request that is relayed for another daemon: passed to the upstream as it came, its response
@@ -39,9 +40,10 @@
     private final RelayContext mContext;
     private final Consumer<RelayedExchange> mOnEnded;
     private final CallerResponseWriter mWriter;
-    private DisconnectDetector mDisconnectDetector;
-    private OutgoingCall mCall;
+    private Runnable mStopDetector = () -> {};
+    private Optional<OutgoingCall> mCall = Optional.empty();
     private Optional<Runnable> mWithoutBody = Optional.empty();
+    private boolean mSending;
     private boolean mHeadSent;
     private boolean mEnded;
 
@@ -56,11 +58,21 @@
         mOnEnded = onEnded;
         mWriter =
                 new CallerResponseWriter(
-                        exchange, context.dialect(), this::onDisconnected, () -> mCall.resume());
+                        exchange,
+                        context.dialect(),
+                        () -> run(this::onDisconnected),
+                        () -> mCall.ifPresent(OutgoingCall::resume));
     }
 
     void start(HttpConnector connector, OpenedConnection connection, byte[] body) {
-        mDisconnectDetector = DisconnectDetector.start(mExchange, this::onDisconnected);
+        run(() -> send(connector, connection, body));
+        if (mEnded && !mSending) {
+            connection.close();
+        }
+    }
+
+    private void send(HttpConnector connector, OpenedConnection connection, byte[] body) {
+        mStopDetector = DisconnectDetector.start(mExchange, () -> run(this::onDisconnected))::stop;
         mContext.admission().onSent(mUpstream, mContext.scheduler().monotonicNs());
         Duration timeLimit =
                 mContext.dialect()
@@ -77,8 +89,39 @@
                         body,
                         timeLimit,
                         Optional.empty());
-        mCall = connector.prepare(connection, request, this);
-        mCall.start();
+        OutgoingCall call = connector.prepare(connection, request, this);
+        mCall = Optional.of(call);
+        call.start();
+    }
+
+    /** Runs a step; if it fails, the other daemon learns whether the request may have run. */
+    private void run(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            mContext.scheduler().onTaskFailed("relayed request", e);
+            fail("failed, " + e);
+        }
+    }
+
+    private void fail(String reason) {
+        try {
+            if (!mEnded) {
+                end(reason);
+                mCall.ifPresent(OutgoingCall::cancel);
+                endWithoutResponse(!mSending);
+                return;
+            }
+        } catch (RuntimeException | Error e) {
+            mContext.scheduler().onTaskFailed("relayed request", e);
+        }
+        // What is left of the response can't be trusted to be whole.
+        IoUtils.safeClose(mExchange.getConnection());
+    }
+
+    @Override
+    public void onSending() {
+        mSending = true;
     }
 
     private Map<String, String> headers() {
@@ -94,6 +137,10 @@
 
     @Override
     public void onResponse(int status, HeaderMap headers) {
+        run(() -> onHead(status, headers));
+    }
+
+    private void onHead(int status, HeaderMap headers) {
         if (mEnded) {
             return;
         }
@@ -117,18 +164,26 @@
 
     @Override
     public void onBytes(ByteBuffer bytes) {
+        run(() -> pass(bytes));
+    }
+
+    private void pass(ByteBuffer bytes) {
         if (mEnded) {
             return;
         }
         byte[] chunk = new byte[bytes.remaining()];
         bytes.get(chunk);
         if (!mWriter.sendChunk(chunk)) {
-            mCall.pause();
+            mCall.ifPresent(OutgoingCall::pause);
         }
     }
 
     @Override
     public void onEnd(CallEnd callEnd) {
+        run(() -> onCallEnd(callEnd));
+    }
+
+    private void onCallEnd(CallEnd callEnd) {
         if (mEnded) {
             return;
         }
@@ -142,9 +197,13 @@
 
     /** Ends the request because this daemon stops. It may be sent before the call is cancelled. */
     void interrupt() {
+        run(this::giveUp);
+    }
+
+    private void giveUp() {
         if (!mEnded) {
             end("the host stops");
-            mCall.cancel();
+            mCall.ifPresent(OutgoingCall::cancel);
             endWithoutResponse(false);
         }
     }
@@ -169,14 +228,14 @@
     private void onDisconnected() {
         if (!mEnded) {
             end("the other daemon closed its connection");
-            mCall.cancel();
+            mCall.ifPresent(OutgoingCall::cancel);
             mWriter.abort();
         }
     }
 
     private void end(String detail) {
         mEnded = true;
-        mDisconnectDetector.stop();
+        mStopDetector.run();
         sLogger.atInfo().log(
                 "relay: upstream=%s peer=%s detail=\"%s\"",
                 mUpstream.id(), mExchange.getSourceAddress(), detail);
