A response of which a later write throws is broken off

Seen by callers: a response that had begun stayed open without an end and without another byte, until the caller itself left, if a write threw anything but an IOException.

Cause: the first write runs in the guard of the exchange, later ones run as a listener of the channel, where the I/O thread logs what they throw and goes on. The check of time limits takes a response that has begun for one that is being written.

Later writes run in the guard of the exchange, or of the relayed request, which closes the connection, so that the response can't be taken for a whole one. The outcome is that of a failed step, not "gone".

--- a/server/src/main/java/org/amaranthpick/server/gateway/CallerResponseWriter.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/CallerResponseWriter.java
@@ -9,6 +9,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.Executor;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -27,6 +28,7 @@
 
     private final HttpServerExchange mExchange;
     private final GatewayDialect mDialect;
+    private final Executor mSteps;
     private final Runnable mOnDisconnect;
     private final Runnable mOnWritable;
     private final Deque<ByteBuffer> mPending = new ArrayDeque<>();
@@ -41,16 +43,19 @@
      *
      * @param exchange exchange with the caller
      * @param dialect decides which headers are forwarded
+     * @param steps runs later writes as steps of the exchange
      * @param onDisconnect runs when writing fails because the caller's connection broke
      * @param onWritable runs when the queued chunks were written after the queue had been full
      */
     CallerResponseWriter(
             HttpServerExchange exchange,
             GatewayDialect dialect,
+            Executor steps,
             Runnable onDisconnect,
             Runnable onWritable) {
         mExchange = exchange;
         mDialect = dialect;
+        mSteps = steps;
         mOnDisconnect = onDisconnect;
         mOnWritable = onWritable;
     }
@@ -118,7 +123,7 @@
 
     private void openChannel() {
         mSink = mExchange.getResponseChannel();
-        mSink.getWriteSetter().set(channel -> writePending());
+        mSink.getWriteSetter().set(channel -> mSteps.execute(this::writePending));
     }
 
     private void writePending() {
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -67,6 +67,7 @@
                 new CallerResponseWriter(
                         exchange,
                         context.dialect(),
+                        open::run,
                         () -> run(this::onCallerDisconnected),
                         () -> run(this::onCallerWritable));
         mCrashGuard = new PromptCrashGuard(request, context);
--- a/server/src/main/java/org/amaranthpick/server/gateway/RelayedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayedExchange.java
@@ -60,6 +60,7 @@
                 new CallerResponseWriter(
                         exchange,
                         context.dialect(),
+                        this::run,
                         () -> run(this::onDisconnected),
                         () -> mCall.ifPresent(OutgoingCall::resume));
     }
