A caller that closes its sending side is told how its request ended

Seen by callers: one that closes only its sending side after a whole request (HTTP/1.1 allows it) got neither an answer nor a refusal: its request was cancelled and the connection closed.

Cause: the end of the caller's bytes is taken for a closed connection. It can't be told apart from one: a full close shows first as the same end of bytes, and as a reset only after something was written.

Weighed: - Going on until a write fails. Plain requests write nothing before their answer, and streams nothing before their first event, which takes seconds. Most callers that leave close fully. - Going on for less than half a second. It serves short requests of unusual callers, takes work of engines for each caller that leaves, and leaves little of the half second on a loaded or relayed path. - Interim responses as probes.

Decided: the work stops at once, as before, but the caller is answered before its connection is closed: 503 if the request was not sent, and never will be, else 502. One that has left gets a packet that its host resets. A stream that has begun is closed without the last chunk. The outcome in the log and the metrics stays "gone".

--- a/server/src/main/java/org/amaranthpick/server/gateway/FailureResponse.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/FailureResponse.java
@@ -15,6 +15,19 @@
         action.run();
     }
 
+    /**
+     * Sends the response to a caller of whom no more bytes come. It may have left, or have closed
+     * its sending side only. A response that has begun is broken off instead.
+     */
+    void sendLast(HttpServerExchange exchange, CallerResponseWriter writer) {
+        if (exchange.isResponseStarted() || !exchange.getConnection().isOpen()) {
+            writer.abort();
+        } else {
+            exchange.setPersistent(false);
+            send();
+        }
+    }
+
     /** Selects the response by whether the request may have run. */
     static final class Selector {
         private final HttpServerExchange mExchange;
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -378,7 +378,7 @@
         if (!mEnded) {
             mAttempts.cancel();
             end("gone", "the caller closed its connection");
-            mResponseWriter.abort();
+            mFailures.select(remainingTime(), RESPONSE_MARGIN).sendLast(mExchange, mResponseWriter);
         }
     }
 
