--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardedExchange.java
@@ -67,6 +67,7 @@
                 new CallerResponseWriter(
                         exchange,
                         context.dialect(),
+                        open::run,
                         () -> run(this::onCallerDisconnected),
                         () -> run(this::onCallerWritable));
         mCrashGuard = new PromptCrashGuard(request, context);
@@ -377,7 +378,7 @@
         if (!mEnded) {
             mAttempts.cancel();
             end("gone", "the caller closed its connection");
-            mResponseWriter.abort();
+            mFailures.select(remainingTime(), RESPONSE_MARGIN).sendLast(mExchange, mResponseWriter);
         }
     }
 
