--- a/server/src/main/java/org/amaranthpick/server/gateway/OpenExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/OpenExchange.java
@@ -107,7 +107,8 @@
     }
 
     /**
-     * Records whether the answer is whole: its end also counts as sent if the connection closes.
+     * Records whether the response was written whole: Undertow also completes an exchange whose
+     * connection was closed in the middle of the response.
      */
     void onComplete() {
         mWritten = mExchange.getConnection().isOpen();
--- a/tools/src/main/java/org/amaranthpick/tools/CutReport.java
+++ b/tools/src/main/java/org/amaranthpick/tools/CutReport.java
@@ -20,8 +20,7 @@
     private static final Set<String> NO_ENDS = Set.of("attempt", "unread");
 
     private final String mUnnamedHost;
-    private final long mReachMs;
-    private final long mGraceMs;
+    private final Reach mReach;
     private final Set<String> mFurtherCuts;
     private final Map<String, Host> mHosts = new TreeMap<>();
     private final Map<String, Long> mOutcomes = new TreeMap<>();
@@ -29,6 +28,15 @@
     private long mChangedMs = NEVER_MS;
     private String mStartedHost;
 
+    /**
+     * What is within reach of planned work.
+     *
+     * @param configurationMs time for which a version is within reach, ms
+     * @param graceMs grace of a stop, ms
+     * @param stopsApart whether ends beside a stop are neither beside a configuration nor elsewhere
+     */
+    record Reach(long configurationMs, long graceMs, boolean stopsApart) {}
+
     /** What is kept of a host. */
     private static final class Host {
         private final CutCounts mCounts = new CutCounts();
@@ -40,15 +48,13 @@
      * Creates a report without lines.
      *
      * @param unnamedHost name of the host whose lines name none, until it says its name
-     * @param reachMs time for which a version is within reach, ms
-     * @param graceMs grace of a stop, ms
+     * @param reach what is within reach
      * @param furtherCuts outcomes that count as cuts besides broken and gone
      */
-    CutReport(String unnamedHost, long reachMs, long graceMs, Set<String> furtherCuts) {
+    CutReport(String unnamedHost, Reach reach, Set<String> furtherCuts) {
         mUnnamedHost = unnamedHost;
         mStartedHost = unnamedHost;
-        mReachMs = reachMs;
-        mGraceMs = graceMs;
+        mReach = reach;
         mFurtherCuts = furtherCuts;
     }
 
@@ -66,7 +72,7 @@
         } else if (line.text().startsWith("stop: draining ")) {
             Host host = host(line);
             host.mStopping = true;
-            host.mStopUntilMs = line.timeMs().orElse(NEVER_MS) + mGraceMs + STOP_MARGIN_MS;
+            host.mStopUntilMs = line.timeMs().orElse(NEVER_MS) + mReach.graceMs() + STOP_MARGIN_MS;
         } else if (line.text().startsWith("request: id=")) {
             onRequest(line);
         } else if (line.text().startsWith("unanswered: id=")) {
@@ -123,22 +129,22 @@
             return besideWithoutTime(line, host);
         }
         long nowMs = line.timeMs().getAsLong();
-        if (nowMs <= host.mStopUntilMs) {
+        if (mReach.stopsApart() && nowMs <= host.mStopUntilMs) {
             return CutCounts.Beside.STOP;
         }
-        boolean near = mChangedMs != NEVER_MS && nowMs <= mChangedMs + mReachMs;
+        boolean near = mChangedMs != NEVER_MS && nowMs <= mChangedMs + mReach.configurationMs();
         return near ? CutCounts.Beside.CONFIGURATION : CutCounts.Beside.ELSEWHERE;
     }
 
     private CutCounts.Beside besideWithoutTime(LogLine line, Host host) {
-        if (host.mStopping) {
+        if (mReach.stopsApart() && host.mStopping) {
             return CutCounts.Beside.STOP;
         }
         return line.field("config_age_ms")
                 .map(Long::parseLong)
                 .map(
                         ageMs ->
-                                ageMs <= mReachMs
+                                ageMs <= mReach.configurationMs()
                                         ? CutCounts.Beside.CONFIGURATION
                                         : CutCounts.Beside.ELSEWHERE)
                 .orElse(CutCounts.Beside.UNKNOWN);
--- a/tools/src/main/java/org/amaranthpick/tools/CutsCommand.java
+++ b/tools/src/main/java/org/amaranthpick/tools/CutsCommand.java
@@ -37,6 +37,9 @@
             description = "Outcome that counts as well, such as interrupted or timeout")
     private List<String> mOutcomes = new ArrayList<>();
 
+    @Option(name = "--ignore-stops", description = "Count ends beside a stop as if there were none")
+    private boolean mIgnoreStops;
+
     @Arguments(title = "LOG", description = "Logs of one or several hosts; - for standard input")
     @Required
     private List<String> mLogs;
@@ -44,11 +47,11 @@
     @Override
     public int run(PrintStream out, PrintStream err) {
         CutCounts total = new CutCounts();
+        CutReport.Reach reach = new CutReport.Reach(mReachMs, mGraceMs, !mIgnoreStops);
         out.println("requests/cuts (cuts per 1000 requests)");
         out.println(row("host", "configuration", "stop", "elsewhere", ""));
         for (String log : mLogs) {
-            CutReport report =
-                    new CutReport(nameOf(log), mReachMs, mGraceMs, Set.copyOf(mOutcomes));
+            CutReport report = new CutReport(nameOf(log), reach, Set.copyOf(mOutcomes));
             try (BufferedReader lines = open(log)) {
                 for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                     report.take(line);
--- a/tools/src/test/java/org/amaranthpick/tools/CutsCommandTest.java
+++ b/tools/src/test/java/org/amaranthpick/tools/CutsCommandTest.java
@@ -184,6 +184,15 @@
                 row(run(args), "all logs"));
     }
 
+    /** A host that stops beside a configuration may have its cuts counted there. */
+    @Test
+    void stopsAreLeftOutOfAccountIfAskedFor() throws IOException {
+        Path log = write("a.log", log(Prefix.BENCH, 31, end("broken"), end("answered")));
+        assertEquals(
+                "0/0 | 0/0 | 2/1", row(run("cuts", "--ignore-stops", log.toString()), "host-a"));
+        assertEquals("0/0 | 2/1 | 0/0", row(run("cuts", log.toString()), "host-a"));
+    }
+
     /** Three in a thousand are not over three times one in a thousand. */
     @ParameterizedTest
     @ValueSource(ints = {3, 4})
