--- a/server/src/test/java/org/amaranthpick/server/gateway/CallerResponseWriterTest.java
+++ b/server/src/test/java/org/amaranthpick/server/gateway/CallerResponseWriterTest.java
@@ -80,7 +80,9 @@
                 new OpenExchanges(
                         scheduler,
                         new GatewayResponses(dialect(), new SplittableRandom(1)),
-                        mInvariants);
+                        mInvariants,
+                        new UnansweredRequests(
+                                new PlannedWork(scheduler), new GatewayMetrics(mInvariants)));
     }
 
     @AfterEach
