--- a/server/src/test/java/org/amaranthpick/server/gateway/OpenExchangesTest.java
+++ b/server/src/test/java/org/amaranthpick/server/gateway/OpenExchangesTest.java
@@ -197,7 +197,7 @@
             case BROKEN, GONE -> open.onEnd(label(reason));
             case UNWRITTEN -> open.onEnd("answered");
             case FAILED -> throw new IllegalStateException("made to throw");
-            case CLOSED -> {}
+            default -> {}
         }
         IoUtils.safeClose(exchange.getConnection());
     }
