Heads that have not come whole share a sixteenth of the heap

What callers saw: 75 connections that each sent 900 KB of a head and then nothing ended a daemon by OutOfMemoryError, and with it every request that it held (found by a test, not reported).

Cause: a head is bounded at 1 MB for each connection, far above any configuration, and nothing bounds their sum.

Fix: the bytes read of a head are counted below the parser, from the acceptance or the last answer until the head is whole. Over the limit the connection with most of them is closed, whose request has not been read; callers with heads of the usual size stay. Weighed: a lower limit for each connection (a quarter of the heap over 2,118 descriptors is under 16 KB, proper callers would be denied); closing the connection that goes over (the one with a small head, if it comes last).

--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayListeners.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayListeners.java
@@ -77,7 +77,8 @@
 
     private final XnioWorker mWorker;
     private final ByteBufferPool mBuffers;
-    private final OpenConnections mConnections = new OpenConnections();
+    private final OpenConnections mConnections =
+            new OpenConnections(HeadMemory.ofHeap(Runtime.getRuntime().maxMemory()));
     private final List<AcceptingChannel<StreamConnection>> mListening = new ArrayList<>();
     private boolean mClosed;
 
--- a/server/src/main/java/org/amaranthpick/server/gateway/OpenConnections.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/OpenConnections.java
@@ -16,6 +16,7 @@
  */
 final class OpenConnections {
     private final Map<StreamConnection, Use> mUses = new HashMap<>();
+    private final HeadMemory mHeads;
 
     private enum Use {
         /** No request has come yet. */
@@ -31,18 +32,44 @@
         ANSWERED
     }
 
+    /**
+     * Creates an empty set.
+     *
+     * @param heads memory for heads of requests that have not come whole
+     */
+    OpenConnections(HeadMemory heads) {
+        mHeads = heads;
+    }
+
     /** Opens an accepted connection. */
     void open(StreamConnection connection, ChannelListener<StreamConnection> opener) {
         mUses.put(connection, Use.NEW);
-        connection.setCloseListener(mUses::remove);
+        connection.setCloseListener(this::onClosed);
+        connection
+                .getSourceChannel()
+                .setConduit(
+                        new HeadCountingConduit(connection, bytes -> onRead(connection, bytes)));
         opener.handleEvent(connection);
     }
 
+    private void onRead(StreamConnection connection, int bytes) {
+        Use use = mUses.get(connection);
+        if (use == Use.NEW || use == Use.IDLE) {
+            mHeads.add(connection, bytes);
+        }
+    }
+
+    private void onClosed(StreamConnection connection) {
+        mUses.remove(connection);
+        mHeads.release(connection);
+    }
+
     /** Records that a request has come on its connection, and when its answer is written. */
     void onRequest(HttpServerExchange exchange) {
         StreamConnection connection =
                 ((HttpServerConnection) exchange.getConnection()).getChannel();
         mUses.replace(connection, Use.BUSY);
+        mHeads.release(connection);
         exchange.addExchangeCompleteListener(
                 (completed, next) -> {
                     mUses.replace(connection, completed.isPersistent() ? Use.IDLE : Use.ANSWERED);
