A stopping host gives a new connection time for its first request

A connection on which no request had come was closed at once, also one that had just been opened, with its first request in transit.

--- a/server/src/main/java/org/amaranthpick/server/gateway/OpenConnections.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/OpenConnections.java
@@ -22,6 +22,9 @@
         /** No request has come yet. */
         NEW,
 
+        /** No request has come since the last time that waiting connections were closed. */
+        SILENT,
+
         /** A request is being read, served or answered. */
         BUSY,
 
@@ -54,7 +57,7 @@
 
     private void onRead(StreamConnection connection, int bytes) {
         Use use = mUses.get(connection);
-        if (use == Use.NEW || use == Use.IDLE) {
+        if (use == Use.NEW || use == Use.SILENT || use == Use.IDLE) {
             mHeads.add(connection, bytes);
         }
     }
@@ -87,9 +90,13 @@
         readAndClose(use -> use == Use.IDLE);
     }
 
-    /** Closes those that wait for a request, also for their first. */
+    /**
+     * Closes those that wait for a request. A new one is closed the next time, as its first request
+     * is probably in transit.
+     */
     void closeWaiting() {
-        readAndClose(use -> use == Use.IDLE || use == Use.NEW);
+        readAndClose(use -> use == Use.IDLE || use == Use.SILENT);
+        mUses.replaceAll((connection, use) -> use == Use.NEW ? Use.SILENT : use);
     }
 
     /**
--- a/server/src/test/java/org/amaranthpick/server/gateway/OpenConnectionsTest.java
+++ b/server/src/test/java/org/amaranthpick/server/gateway/OpenConnectionsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -9,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.xnio.OptionMap;
@@ -38,15 +40,57 @@
         }
     }
 
+    /** A first request that was in transit as a host stopped was cut. */
+    @Test
+    void closesANewConnectionAtTheSecondTime() throws Exception {
+        XnioWorker worker = createWorker();
+        int port = freePort();
+        try (GatewayListeners listeners = new GatewayListeners(worker)) {
+            listeners.start(URI.create("http://127.0.0.1:" + port), exchange -> {});
+            try (Socket answered = new Socket(InetAddress.getLoopbackAddress(), port);
+                    Socket silent = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                awaitCount(worker, listeners, 2);
+                closeWaiting(worker, listeners);
+                answered.getOutputStream()
+                        .write(Caller.KEEPING.mText.getBytes(StandardCharsets.ISO_8859_1));
+                assertEquals('H', answered.getInputStream().read());
+                assertEquals(2, count(worker, listeners));
+                closeWaiting(worker, listeners);
+                assertEquals(-1, silent.getInputStream().read());
+                awaitCount(worker, listeners, 0);
+            }
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+
+    private static void closeWaiting(XnioWorker worker, GatewayListeners listeners)
+            throws Exception {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        worker.getIoThread()
+                .execute(
+                        () -> {
+                            listeners.connections().closeWaiting();
+                            closed.complete(null);
+                        });
+        closed.get(LIMIT_S, TimeUnit.SECONDS);
+    }
+
+    private static XnioWorker createWorker() throws IOException {
+        return Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
     @ParameterizedTest
     @EnumSource(Caller.class)
     void forgetsClosedConnections(Caller caller) throws Exception {
-        XnioWorker worker =
-                Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        int port;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
+        XnioWorker worker = createWorker();
+        int port = freePort();
         try (GatewayListeners listeners = new GatewayListeners(worker)) {
             listeners.start(URI.create("http://127.0.0.1:" + port), exchange -> {});
             for (int i = 0; i < CONNECTIONS; i++) {
