--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -46,6 +46,10 @@
     private boolean mRequestWritten;
     private boolean mPaused;
     private boolean mDone;
+
+    /** Set before the call ends by its task: tasks that send may be queued before that one. */
+    private volatile boolean mCancelled;
+
     private Cancellable mStepTimer = () -> {};
     private Cancellable mTotalTimer = () -> {};
     private Cancellable mTurnTimer = () -> {};
@@ -102,13 +106,17 @@
         mPool.execute(() -> run(this::doResume));
     }
 
-    /** Ends the call and closes its connection. */
+    /**
+     * Ends the call and closes its connection. On the I/O thread, a request that has not told that
+     * it is being sent will not be.
+     */
     public void cancel() {
+        mCancelled = true;
         mPool.execute(() -> run(() -> fail("cancelled")));
     }
 
     private void begin() {
-        if (mDone) {
+        if (mDone || mCancelled) {
             mOpened.ifPresent(OpenedConnection::close);
             return;
         }
@@ -402,7 +410,7 @@
     private final class ConnectionTaker implements HostPool.Taker {
         @Override
         public void onConnection(LimitedConnection connection, boolean reused) {
-            if (mDone) {
+            if (mDone || mCancelled) {
                 mPool.release(connection);
             } else {
                 run(() -> use(connection, reused));
