--- a/core/src/main/java/org/amaranthpick/core/layers/CachingEngineControl.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/CachingEngineControl.java
@@ -48,17 +48,17 @@
         if (cached != null && nowNs - cached.requestedNs() < CACHE_TIME.toNanos()) {
             return cached.report();
         }
+        CompletionStage<EngineReport> fetched = mControl.fetchReport(engine);
         CompletableFuture<EngineReport> report = new CompletableFuture<>();
         mCached.put(engine.id(), new CachedReport(report, nowNs));
-        mControl.fetchReport(engine)
-                .whenComplete(
-                        (result, failure) -> {
-                            if (failure == null) {
-                                report.complete(result);
-                            } else {
-                                report.completeExceptionally(failure);
-                            }
-                        });
+        fetched.whenComplete(
+                (result, failure) -> {
+                    if (failure == null) {
+                        report.complete(result);
+                    } else {
+                        report.completeExceptionally(failure);
+                    }
+                });
         return report;
     }
 }
--- a/core/src/test/java/org/amaranthpick/core/layers/CachingEngineControlTest.java
+++ b/core/src/test/java/org/amaranthpick/core/layers/CachingEngineControlTest.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.core.layers;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -52,9 +53,21 @@
         assertTrue(mReports.fetchReport(mEngine).toCompletableFuture().isCompletedExceptionally());
     }
 
+    /** Those that asked next within the cache time waited for a report that nobody had asked for. */
+    @Test
+    void aQueryThatThrowsLeavesNoReportToWaitFor() {
+        mControl.mThrows = true;
+        assertThrows(IllegalStateException.class, () -> mReports.fetchReport(mEngine));
+        mControl.mThrows = false;
+        CompletableFuture<EngineReport> next = mReports.fetchReport(mEngine).toCompletableFuture();
+        mControl.mReport.completeExceptionally(new IllegalStateException("made to fail"));
+        assertTrue(next.isDone());
+    }
+
     private static final class CountingControl implements EngineControl {
         private final CompletableFuture<EngineReport> mReport = new CompletableFuture<>();
         private int mReports;
+        private boolean mThrows;
 
         @Override
         public CompletionStage<OrderOutcome> sendOrder(
@@ -65,6 +78,9 @@
         @Override
         public CompletionStage<EngineReport> fetchReport(UpstreamEntry engine) {
             mReports++;
+            if (mThrows) {
+                throw new IllegalStateException("made to throw");
+            }
             return mReport;
         }
     }
