--- a/server/src/main/java/org/amaranthpick/server/gateway/OpenConnections.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/OpenConnections.java
@@ -35,7 +35,13 @@
     void open(StreamConnection connection, ChannelListener<StreamConnection> opener) {
         mUses.put(connection, Use.NEW);
         connection.setCloseListener(mUses::remove);
-        opener.handleEvent(connection);
+        try {
+            opener.handleEvent(connection);
+        } catch (RuntimeException | Error e) {
+            // Nobody would read it, and its caller would wait.
+            IoUtils.safeClose(connection);
+            throw e;
+        }
     }
 
     /** Records that a request has come on its connection, and when its answer is written. */
--- a/server/src/test/java/org/amaranthpick/server/gateway/OpenConnectionsTest.java
+++ b/server/src/test/java/org/amaranthpick/server/gateway/OpenConnectionsTest.java
@@ -3,18 +3,23 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.xnio.ChannelListeners;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 
 /** Connections that have ended stay among the open ones, and fill the heap. */
 class OpenConnectionsTest {
@@ -64,6 +69,34 @@
         }
     }
 
+    /** As for lack of memory for buffers: the caller would wait on a connection nobody reads. */
+    @Test
+    void closesAConnectionThatCannotBeOpened() throws Exception {
+        XnioWorker worker =
+                Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        OpenConnections connections = new OpenConnections();
+        try (AcceptingChannel<StreamConnection> listening =
+                worker.createStreamConnectionServer(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        ChannelListeners.openListenerAdapter(
+                                connection ->
+                                        connections.open(
+                                                connection,
+                                                opened -> {
+                                                    throw new OutOfMemoryError("made to fail");
+                                                })),
+                        OptionMap.EMPTY)) {
+            listening.resumeAccepts();
+            try (Socket socket = new Socket()) {
+                socket.connect(listening.getLocalAddress());
+                socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LIMIT_S));
+                assertEquals(-1, socket.getInputStream().read());
+            }
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+
     private static void awaitCount(XnioWorker worker, GatewayListeners listeners, int wanted)
             throws Exception {
         long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_S);
