--- a/server/src/main/java/org/amaranthpick/server/gateway/OpenConnections.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/OpenConnections.java
@@ -52,7 +52,13 @@
                 .getSourceChannel()
                 .setConduit(
                         new HeadCountingConduit(connection, bytes -> onRead(connection, bytes)));
-        opener.handleEvent(connection);
+        try {
+            opener.handleEvent(connection);
+        } catch (RuntimeException | Error e) {
+            // Nobody would read it, and its caller would wait.
+            IoUtils.safeClose(connection);
+            throw e;
+        }
     }
 
     private void onRead(StreamConnection connection, int bytes) {
