A crash is found again after a query of its engine failed

What callers saw: after one query of an engine that ended exceptionally, crashes at that engine counted for no prompt any more, so that a crashing prompt was not quarantined for it.

Cause: the engine stays among those that are being queried until a report comes, and none came.

Fix: a query that fails, or throws, is logged and counted, and the next loss is queried again.

Found in the review by reading.

--- a/core/src/test/java/org/amaranthpick/core/layers/CachingEngineControlTest.java
+++ b/core/src/test/java/org/amaranthpick/core/layers/CachingEngineControlTest.java
@@ -53,7 +53,9 @@
         assertTrue(mReports.fetchReport(mEngine).toCompletableFuture().isCompletedExceptionally());
     }
 
-    /** Those that asked next within the cache time waited for a report that nobody had asked for. */
+    /**
+     * Those that asked next within the cache time waited for a report that nobody had asked for.
+     */
     @Test
     void aQueryThatThrowsLeavesNoReportToWaitFor() {
         mControl.mThrows = true;
--- a/server/src/main/java/org/amaranthpick/server/gateway/CrashDetector.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/CrashDetector.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import org.amaranthpick.core.layers.EngineControl;
 import org.amaranthpick.core.layers.EngineReport;
 import org.amaranthpick.core.quarantine.PromptQuarantine;
@@ -45,10 +47,32 @@
         lost = new LinkedHashSet<>();
         lost.add(parts);
         mQueried.put(engine.id(), lost);
-        mEngines.fetchReport(engine)
-                .thenAccept(
-                        report ->
-                                mScheduler.schedule(Duration.ZERO, () -> onReport(engine, report)));
+        fetchReport(engine)
+                .whenComplete(
+                        (report, failure) ->
+                                mScheduler.schedule(
+                                        Duration.ZERO,
+                                        () -> {
+                                            if (failure == null) {
+                                                onReport(engine, report);
+                                            } else {
+                                                onQueryFailed(engine, failure);
+                                            }
+                                        }));
+    }
+
+    private CompletionStage<EngineReport> fetchReport(UpstreamEntry engine) {
+        try {
+            return mEngines.fetchReport(engine);
+        } catch (RuntimeException | Error e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    /** What the query would have told is unknown; the next loss is queried again. */
+    private void onQueryFailed(UpstreamEntry engine, Throwable failure) {
+        mQueried.remove(engine.id());
+        mScheduler.onTaskFailed("crash query", failure);
     }
 
     private void onReport(UpstreamEntry engine, EngineReport report) {
--- a/server/src/test/java/org/amaranthpick/server/gateway/OpenConnectionsTest.java
+++ b/server/src/test/java/org/amaranthpick/server/gateway/OpenConnectionsTest.java
@@ -117,7 +117,7 @@
     void closesAConnectionThatCannotBeOpened() throws Exception {
         XnioWorker worker =
                 Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        OpenConnections connections = new OpenConnections();
+        OpenConnections connections = new OpenConnections(new HeadMemory(1024));
         try (AcceptingChannel<StreamConnection> listening =
                 worker.createStreamConnectionServer(
                         new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
