--- a/server/src/test/java/org/amaranthpick/server/gateway/CallerResponseWriterTest.java
+++ b/server/src/test/java/org/amaranthpick/server/gateway/CallerResponseWriterTest.java
@@ -47,7 +47,7 @@
                 new IllegalStateException("made to throw"), new AssertionError("made to throw"));
     }
 
-    /** Takes nothing at first, and throws once the writer is called again. */
+    /** Accepts nothing at first, and throws once the writer is called again. */
     private static final class ThrowingConduit
             extends AbstractStreamSinkConduit<StreamSinkConduit> {
         private final Throwable mFailure;
--- a/tools/src/main/java/org/amaranthpick/tools/CutReport.java
+++ b/tools/src/main/java/org/amaranthpick/tools/CutReport.java
@@ -58,7 +58,7 @@
         mFurtherCuts = furtherCuts;
     }
 
-    /** Takes the next line of the log. */
+    /** Handles the next line of the log. */
     void take(String text) {
         LogLine.read(text).ifPresent(this::take);
     }
--- a/tools/src/main/java/org/amaranthpick/tools/LogExplanation.java
+++ b/tools/src/main/java/org/amaranthpick/tools/LogExplanation.java
@@ -35,7 +35,7 @@
         mRequestId = requestId;
     }
 
-    /** Takes the next line of the log. */
+    /** Handles the next line of the log. */
     void take(String line) {
         if (line.contains("id=" + mRequestId + " ") || line.endsWith("request=" + mRequestId)) {
             showBeliefs(line);
