Log missing layers, hosts without a chain, and the capacity that refusals go by

The holder of the lease now logs missing layers beside the orders of the same plan, each host the start and end of a time without a chain, and a refusal its figures. No decision changes.

--- a/core/src/main/java/org/amaranthpick/core/gateway/CapacityLossAdmission.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/CapacityLossAdmission.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.core.gateway;
 
 import java.time.Duration;
+import java.util.Locale;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 
@@ -32,6 +33,8 @@
     /** Time until an engine that came back is registered and has its orders. */
     private static final Duration REGISTRATION_TIME = Duration.ofMillis(1500);
 
+    private static final long NS_PER_MS = 1_000_000;
+
     private final IntSupplier mDaemons;
     private final RandomGenerator mRandom;
     private double mCapacityRequests;
@@ -97,6 +100,23 @@
         return !isLimiting() || inProgress < (int) (part + mRounding);
     }
 
+    /**
+     * Describes the capacity for a log line.
+     *
+     * @param inProgress requests of the model that this daemon has in progress
+     * @return figures
+     */
+    String describe(int inProgress) {
+        return String.format(
+                Locale.ROOT,
+                "capacity %.1f of %.1f requests, daemons %d, in progress here %d, lost for %d ms",
+                mCapacityRequests,
+                mHighestRequests,
+                mDaemons.getAsInt(),
+                inProgress,
+                isLimiting() ? (mUpdatedNs - mLostSinceNs) / NS_PER_MS : 0);
+    }
+
     /**
      * Predicts the time until lost engines are back with their layers.
      *
--- a/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
@@ -59,6 +59,7 @@
     private final Map<String, Integer> mModelInProgress = new HashMap<>();
     private final Map<String, CachedChains> mCachedChains = new RecentServices<>();
     private final Map<String, CapacityLossAdmission> mAdmissions = new RecentServices<>();
+    private final ChainOutages mOutages = new ChainOutages();
     private final IntSupplier mDaemons;
 
     /**
@@ -180,6 +181,16 @@
         return admission.admits(mModelInProgress.getOrDefault(service.name(), 0));
     }
 
+    /**
+     * Describes the capacity that new requests of a model are limited by.
+     *
+     * @param service the service
+     * @return figures for a log line
+     */
+    public String describeCapacity(GatewayService service) {
+        return admission(service.name()).describe(mModelInProgress.getOrDefault(service.name(), 0));
+    }
+
     private CapacityLossAdmission admission(String service) {
         return mAdmissions.computeIfAbsent(
                 service, name -> new CapacityLossAdmission(mDaemons, mRandom));
@@ -316,9 +327,11 @@
             }
         }
         List<UpstreamEntry> engines = mRegister.findByService(service.name());
+        List<UpstreamEntry> usable = engines.stream().filter(usable(nowNs)).toList();
         List<EngineChain> chains =
-                new ChainFinder(model, mLocalDomain).findPacked(engines, usable(nowNs));
-        boolean complete = engines.stream().allMatch(usable(nowNs));
+                new ChainFinder(model, mLocalDomain).findPacked(usable, engine -> true);
+        mOutages.onSearched(service.name(), model, chains.size(), usable, nowNs);
+        boolean complete = usable.size() == engines.size();
         mCachedChains.put(
                 service.name(),
                 new CachedChains(model, chains, version, nowNs, complete, chains, version));
--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlacementController.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlacementController.java
@@ -45,6 +45,7 @@
     private final Map<String, PendingOrder> mPending = new HashMap<>();
     private final Map<String, RepairDelay> mRepairDelays = new HashMap<>();
     private final Map<String, KnownOrderCount> mOrderCounts = new HashMap<>();
+    private final MissingLayersLog mMissingLayers = new MissingLayersLog();
 
     /** Last known number of orders that an engine has begun since its start. */
     private record KnownOrderCount(long startedAtMs, long ordersBegun) {}
@@ -90,6 +91,7 @@
         if (lease.isEmpty() || mConfiguration.get().isEmpty()) {
             mPending.clear();
             mRepairDelays.clear();
+            mMissingLayers.clear();
             return;
         }
         removeFinishedOrders();
@@ -136,8 +138,10 @@
         // An engine that is tried again after a failure may still be lost.
         List<EngineLayerState> answering =
                 engines.stream().filter(e -> !mHealth.failedSinceSuccess(e.id())).toList();
+        List<EngineLayerState> ofModel = new ArrayList<>();
         for (List<EngineLayerState> group : planner.groupByDomain(answering)) {
             delay.onHolders(group, planner.countHolders(group), nowNs);
+            ofModel.addAll(group);
         }
         List<LayerOrder> planned =
                 planner.plan(engines, domain -> delay.allowsRepair(domain, nowNs));
@@ -147,8 +151,14 @@
                 nothingHeld
                         ? planned
                         : LoadSchedule.select(planned, loadsInProgress(engines, nowNs), model);
-        int parallelLoads =
-                nothingHeld ? 1 : loadsInProgress(engines, nowNs).size() + orders.size();
+        int loads = loadsInProgress(engines, nowNs).size();
+        mMissingLayers.onPlanned(
+                service,
+                LayerGaps.find(planner.countHolders(ofModel)),
+                loads,
+                orders.size(),
+                nowNs);
+        int parallelLoads = nothingHeld ? 1 : loads + orders.size();
         for (LayerOrder order : orders) {
             mRegister
                     .findById(order.engineId())
--- a/server/src/main/java/org/amaranthpick/server/gateway/ExchangeAdmission.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ExchangeAdmission.java
@@ -79,7 +79,9 @@
             mTurnedAway.accept(NO_PATH);
         } else if (decision.reason() == LoadDecision.Reason.UNKNOWN
                 && !mContext.targetPolicy().admits(mRequest.service(), nowNs())) {
-            mTurnedAway.accept("most of the capacity is lost");
+            mTurnedAway.accept(
+                    "most of the capacity is lost: "
+                            + mContext.targetPolicy().describeCapacity(mRequest.service()));
         } else {
             mAdmitted.accept(
                     decision.figures().isEmpty() ? "first" : "first, " + describe(decision));
