Divide missing layers so that all of them are loaded

The chain of the domain stood idle.

Cause: layers were given out from the first gap on, to the fastest engine first, in parts that end with their gap, without regard to what the engines left can hold. No later step mends that: an engine with layers is moved only if they are redundant, and extended only to adjacent ones. A greedy step without a check of the whole.

Now an engine gets the range of its size with most missing layers, largest memory first, and the size of the parts grows from the even one until everything is covered or nothing more can be. The smallest such size keeps the last load short.

--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
@@ -41,6 +41,8 @@
      */
     private static final double[] MAX_WEIGHT_FRACTIONS = {0.75, 0.9};
 
+    private static final String MISSING = "missing layers";
+
     private final EngineModel mModel;
 
     /**
@@ -145,7 +147,9 @@
                 Comparator.comparingDouble((EngineLayerState e) -> layerMs(e, reservedTokens))
                         .thenComparing(EngineLayerState::id));
         boolean firstPlan = Arrays.stream(holders).allMatch(count -> count == 0);
-        MissingLayerSplit split = new MissingLayerSplit(mModel, empty.size());
+        if (!firstPlan) {
+            fillMissing(empty, holders, orders, reservedTokens);
+        }
         int copies = 0;
         for (EngineLayerState engine : empty) {
             Optional<Integer> gap = firstLayerBelow(holders, copies + 1);
@@ -153,11 +157,30 @@
                 copies++;
                 gap = firstLayerBelow(holders, copies + 1);
             }
-            String reason = copies == 0 ? "missing layers" : "copy " + (copies + 1);
+            String reason = copies == 0 ? MISSING : "copy " + (copies + 1);
             int capacity = layerCapacity(engine, reservedTokens);
-            int size =
-                    copies == 0 && !firstPlan ? split.next(capacity, holders, gap.get()) : capacity;
-            orders.add(order(engine, gap.get(), size, holders, reason));
+            orders.add(order(engine, gap.get(), capacity, holders, reason));
+        }
+    }
+
+    /** Orders missing layers, and removes the engines that get them. */
+    private void fillMissing(
+            List<EngineLayerState> empty,
+            int[] holders,
+            List<LayerOrder> orders,
+            double reservedTokens) {
+        List<EngineLayerState> byCapacity = new ArrayList<>(empty);
+        byCapacity.sort(
+                Comparator.comparingInt((EngineLayerState e) -> layerCapacity(e, reservedTokens))
+                        .reversed());
+        int[] capacities =
+                byCapacity.stream().mapToInt(e -> layerCapacity(e, reservedTokens)).toArray();
+        List<LayerRange> ranges = new MissingLayerSplit(mModel).divide(capacities, holders);
+        for (int i = 0; i < ranges.size(); i++) {
+            EngineLayerState engine = byCapacity.get(i);
+            LayerRange range = ranges.get(i);
+            orders.add(order(engine, range.from(), range.size(), holders, MISSING));
+            empty.remove(engine);
         }
     }
 
--- a/core/src/test/java/org/amaranthpick/core/layers/MissingLayerSplitTest.java
+++ b/core/src/test/java/org/amaranthpick/core/layers/MissingLayerSplitTest.java
@@ -5,7 +5,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.amaranthpick.core.gateway.CardKind;
 import org.amaranthpick.core.manifest.LayerRange;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -59,4 +61,53 @@
         assertTrue(first.size() > 22, first.toString());
         assertEquals(List.of(), mPlanner.plan(engines, domain -> false));
     }
+
+    /**
+     * Layers of a domain stayed missing for the rest of a day while its largest card held seven.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "'a,b,c'",
+        "'a,c,f'",
+        "'b,c,d'",
+        "'a,d,e'",
+        "'a,b,f'",
+        "'a,b,c,d,f'",
+        "'a,e'",
+        "'b,e,f'"
+    })
+    void enginesThatReturnEmptyCoverAllLayersTheyHeld(String lost) {
+        List<EngineLayerState> engines = smallDomain();
+        List<EngineLayerState> returned =
+                engines.stream()
+                        .map(e -> lost.contains(e.id()) ? withLayers(e, Optional.empty()) : e)
+                        .toList();
+        List<LayerOrder> orders = mPlanner.plan(returned, domain -> false);
+        int[] holders = mPlanner.countHolders(LayerFixture.applyOrders(returned, orders));
+        assertEquals("none", LayerGaps.describe(LayerGaps.find(holders)), orders.toString());
+    }
+
+    /** Six engines with little more memory than one copy of the model takes. */
+    private static List<EngineLayerState> smallDomain() {
+        Map<String, LayerRange> held =
+                Map.of(
+                        "a", new LayerRange(53, 80),
+                        "b", new LayerRange(7, 24),
+                        "c", new LayerRange(24, 35),
+                        "d", new LayerRange(42, 53),
+                        "e", new LayerRange(35, 42),
+                        "f", new LayerRange(0, 7));
+        List<String> cards = List.of("big", "mid", "small", "small", "tiny", "tiny");
+        List<EngineLayerState> engines = new ArrayList<>();
+        for (String id : List.of("a", "b", "c", "d", "e", "f")) {
+            CardKind card = LayerFixture.CARDS.get(cards.get(engines.size()));
+            engines.add(new EngineLayerState(id, "x", card, Optional.of(held.get(id)), true));
+        }
+        return engines;
+    }
+
+    private static EngineLayerState withLayers(
+            EngineLayerState engine, Optional<LayerRange> layers) {
+        return new EngineLayerState(engine.id(), engine.domain(), engine.card(), layers, true);
+    }
 }
