Hold orders back from a domain whose engines crashed together

Four engines of d had crashed at 5.5 s. With them gone the domain had less memory than a copy of its own needs, so its other engines counted to those that share copies. The first engine that came back, the largest card of the domain, got a second copy of 57-80 for these at 10.1 s; a second later the domain had its memory again, 42-57 had no holder, and engines with layers had to be moved, at 13.9 and 14.6 s.

Cause: what a domain is to hold follows from the engines registered at this moment, without regard to where they are on their way. Class: a decision that is right for a lasting state, taken in a passing one.

A domain that had memory for its own copies in the last 10 s now gets no orders until it has it again, unless layers are missing in the whole fleet. The state is in memory only; a new holder of the lease begins without it, as before.

--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlacementController.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlacementController.java
@@ -44,6 +44,7 @@
     private final Executor mExecutor;
     private final Map<String, PendingOrder> mPending = new HashMap<>();
     private final Map<String, RepairDelay> mRepairDelays = new HashMap<>();
+    private final Map<String, ReducedDomains> mReducedDomains = new HashMap<>();
     private final Map<String, KnownOrderCount> mOrderCounts = new HashMap<>();
     private final MissingLayersLog mMissingLayers = new MissingLayersLog();
 
@@ -91,6 +92,7 @@
         if (lease.isEmpty() || mConfiguration.get().isEmpty()) {
             mPending.clear();
             mRepairDelays.clear();
+            mReducedDomains.clear();
             mMissingLayers.clear();
             return;
         }
@@ -138,23 +140,26 @@
         // An engine that is tried again after a failure may still be lost.
         List<EngineLayerState> answering =
                 engines.stream().filter(e -> !mHealth.failedSinceSuccess(e.id())).toList();
-        List<EngineLayerState> ofModel = new ArrayList<>();
-        for (List<EngineLayerState> group : planner.groupByDomain(answering)) {
+        List<EngineLayerState> planned =
+                mReducedDomains
+                        .computeIfAbsent(service, s -> new ReducedDomains())
+                        .exclude(engines, planner, nowNs);
+        for (List<EngineLayerState> group :
+                planner.groupByDomain(answering.stream().filter(planned::contains).toList())) {
             delay.onHolders(group, planner.countHolders(group), nowNs);
-            ofModel.addAll(group);
         }
-        List<LayerOrder> planned =
-                planner.plan(engines, domain -> delay.allowsRepair(domain, nowNs));
+        List<LayerOrder> proposed =
+                planner.plan(planned, domain -> delay.allowsRepair(domain, nowNs));
         boolean nothingHeld =
                 mRegister.findByService(service).stream().allMatch(e -> e.layers().isEmpty());
         List<LayerOrder> orders =
                 nothingHeld
-                        ? planned
-                        : LoadSchedule.select(planned, loadsInProgress(engines, nowNs), model);
+                        ? proposed
+                        : LoadSchedule.select(proposed, loadsInProgress(engines, nowNs), model);
         int loads = loadsInProgress(engines, nowNs).size();
         mMissingLayers.onPlanned(
                 service,
-                LayerGaps.find(planner.countHolders(ofModel)),
+                LayerGaps.find(planner.countFleetHolders(answering)),
                 loads,
                 orders.size(),
                 nowNs);
--- a/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/LayerPlanner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -67,7 +68,7 @@
         List<LayerOrder> orders = new ArrayList<>();
         List<List<EngineLayerState>> groups = groupByDomain(engines);
         groups.forEach(group -> planGroup(group, stable, orders));
-        int[] holders = countHolders(groups.stream().flatMap(List::stream).toList());
+        int[] holders = countFleetHolders(engines);
         return orders.stream().map(order -> withFleetPurpose(order, holders)).toList();
     }
 
@@ -96,14 +97,11 @@
      * @return a group for each domain with enough memory, and one of the other domains
      */
     List<List<EngineLayerState>> groupByDomain(List<EngineLayerState> engines) {
-        Map<String, List<EngineLayerState>> byDomain = new LinkedHashMap<>();
-        for (EngineLayerState engine : engines.stream().filter(this::isOfModel).toList()) {
-            byDomain.computeIfAbsent(engine.domain(), d -> new ArrayList<>()).add(engine);
-        }
+        Map<String, List<EngineLayerState>> byDomain = byDomain(engines);
         List<List<EngineLayerState>> groups = new ArrayList<>();
         List<EngineLayerState> pooled = new ArrayList<>();
         for (List<EngineLayerState> domain : byDomain.values()) {
-            if (memoryMb(domain) >= MIN_OWN_COPY_RATIO * mModel.layers() * mModel.layerMb()) {
+            if (hasMemoryForCopy(domain)) {
                 groups.add(domain);
             } else {
                 pooled.addAll(domain);
@@ -115,6 +113,30 @@
         return groups;
     }
 
+    /**
+     * Finds the failure domains with enough memory for copies of their own.
+     *
+     * @param engines engines in service
+     * @return names of the domains
+     */
+    Set<String> domainsWithOwnCopies(List<EngineLayerState> engines) {
+        Map<String, List<EngineLayerState>> byDomain = byDomain(engines);
+        byDomain.values().removeIf(domain -> !hasMemoryForCopy(domain));
+        return byDomain.keySet();
+    }
+
+    private Map<String, List<EngineLayerState>> byDomain(List<EngineLayerState> engines) {
+        Map<String, List<EngineLayerState>> byDomain = new LinkedHashMap<>();
+        for (EngineLayerState engine : engines.stream().filter(this::isOfModel).toList()) {
+            byDomain.computeIfAbsent(engine.domain(), d -> new ArrayList<>()).add(engine);
+        }
+        return byDomain;
+    }
+
+    private boolean hasMemoryForCopy(List<EngineLayerState> domain) {
+        return memoryMb(domain) >= MIN_OWN_COPY_RATIO * mModel.layers() * mModel.layerMb();
+    }
+
     private static double memoryMb(List<EngineLayerState> engines) {
         return engines.stream().mapToDouble(e -> e.card().memoryMb()).sum();
     }
@@ -372,6 +394,16 @@
         return holders;
     }
 
+    /**
+     * Counts the engines of the model that hold each layer.
+     *
+     * @param engines engines in service, of any model
+     * @return number of engines by layer
+     */
+    int[] countFleetHolders(Collection<EngineLayerState> engines) {
+        return countHolders(engines.stream().filter(this::isOfModel).toList());
+    }
+
     private static Optional<Integer> firstLayerBelow(int[] holders, int count) {
         for (int layer = 0; layer < holders.length; layer++) {
             if (holders[layer] < count) {
--- a/core/src/test/java/org/amaranthpick/core/layers/LayerPlacementControllerTest.java
+++ b/core/src/test/java/org/amaranthpick/core/layers/LayerPlacementControllerTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -195,6 +196,52 @@
         assertEquals(orders, mEngines.mOrders.size());
     }
 
+    /** The largest card of a domain came back first and loaded a copy for other domains. */
+    @ParameterizedTest
+    @CsvSource({"a,250", "a,1000", "a,3000", "b,250", "b,500", "b,1000", "c,1000", "c,3000"})
+    void aDomainWhoseEnginesCrashTogetherIsWholeOnceTheyAreBack(String domain, long gapMs) {
+        register(Map.of());
+        run(Duration.ofSeconds(14));
+        register(mEngines.mHeld);
+        run(Duration.ofSeconds(4));
+        List<UpstreamEntry> crashed =
+                mRegister.findByService("llm").stream()
+                        .filter(e -> e.domain().equals(domain) && !e.card().get().equals("tiny"))
+                        .sorted(Comparator.comparing(e -> e.card().get()))
+                        .toList();
+        for (UpstreamEntry engine : crashed) {
+            mRegister.remove(engine.id(), mScheduler.monotonicNs());
+            mEngines.mHeld.remove(engine.id());
+            mEngines.mOrdersBegun.remove(engine.id());
+        }
+        run(Duration.ofSeconds(1));
+        for (UpstreamEntry engine : crashed) {
+            mRegister.put(restarted(engine));
+            run(Duration.ofMillis(gapMs));
+        }
+        run(Duration.ofSeconds(1));
+        List<UpstreamEntry> members =
+                mRegister.findByService("llm").stream()
+                        .filter(e -> e.domain().equals(domain))
+                        .map(e -> e.withLayers(Optional.ofNullable(mEngines.mHeld.get(e.id()))))
+                        .toList();
+        assertEquals("none", LayerGaps.describe(LayerGaps.find(members, 80)));
+    }
+
+    private static UpstreamEntry restarted(UpstreamEntry engine) {
+        return new UpstreamEntry(
+                engine.id(),
+                engine.service(),
+                engine.address(),
+                engine.domain(),
+                false,
+                engine.slots(),
+                engine.card(),
+                Optional.empty(),
+                engine.startedAtMs() + 1,
+                0);
+    }
+
     /** During a release or a scale-out under load the set of engines changes every second. */
     @Test
     void lostLayersAreReplacedWhileOtherEnginesKeepJoining() {
