Wait for the pooled connection in the test of silent ones

A stream is told as finished with its last frame; the response ends and its connection is pooled a little later. A second stream that begins in between opens a new connection, which is not silent: the case was not the one named.

--- a/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamCallsTest.java
+++ b/server/src/test/java/org/amaranthpick/server/upstream/HttpUpstreamCallsTest.java
@@ -257,13 +257,24 @@
     @Test
     void silentPooledConnectionLosesOneStreamOnly() throws InterruptedException {
         assertInstanceOf(StreamEnd.Finished.class, generate("r1"));
+        awaitPooledConnection();
         mEngines.first().silenceConnections();
         StreamEnd.StageLost lost = assertInstanceOf(StreamEnd.StageLost.class, generate("r2"));
+        assertEquals(1, mClient.counters().reused());
         assertTrue(lost.reason().contains("no byte"), lost.reason());
         assertInstanceOf(StreamEnd.Finished.class, generate("r3"));
         assertEquals(0, mClient.counters().failed());
     }
 
+    /** A stream is told as finished with its last frame, before its response has ended. */
+    private void awaitPooledConnection() throws InterruptedException {
+        long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (mClient.counters().released() == 0 && System.nanoTime() < untilNs) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        assertEquals(1, mClient.counters().released());
+    }
+
     @Test
     void pausedStreamIsNotTakenForSilentAndResumes() throws InterruptedException {
         mEngines.first().faults().mSlow = Duration.ofMillis(20);
