Take a response whose status is none for a lost one

Here 000, and all else below 200, already ended the attempt as lost, with 502 or a further attempt. But 600 and 999 were passed on to the caller as the upstream's answer (MIXED): a status outside 200 to 599 is no answer in HTTP.

Cause: only the lower bound was checked. OutgoingCall now ends a call whose status is not between 200 and 599 as lost, for callers, queries, the store and other daemons alike.

--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -22,6 +22,7 @@
  */
 public final class OutgoingCall {
     private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LAST_STATUS = 599;
 
     /** Reads after which other calls get their turn, and the time until the next turn. */
     private static final int READS_PER_TURN = 64;
@@ -222,11 +223,12 @@
         }
         mLastByteNs = mScheduler.monotonicNs();
         ClientResponse response = exchange.getResponse();
-        if (response.getResponseCode() < FIRST_FINAL_STATUS) {
-            fail("an interim response came, status " + response.getResponseCode());
+        int status = response.getResponseCode();
+        if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
+            fail("the response has the status " + status + ", which is no final one");
             return;
         }
-        mListener.onResponse(response.getResponseCode(), response.getResponseHeaders());
+        mListener.onResponse(status, response.getResponseHeaders());
         if (mDone) {
             return;
         }
