Find the only chain even if the pipe bears few requests

One request of the whole fleet was let in at a time.

Cause: a chain over two domains may hold as many requests at once as the bandwidth between them bears, and one with room for under six usual requests was discarded and the packing ended. The faster a chain is, the fewer requests fill the pipe, so the best one counted for nothing. Class: what is small is rounded to nothing.

The first chain is now taken if it holds one usual request; the bound of six stays for all further ones, and the pipe's share is as before.

ChainPackingTest#theOnlyChainIsFoundHoweverFewRequestsThePipeBears: 2 of 5 cases fail on the code before, 5 pass.

--- a/core/src/main/java/org/amaranthpick/core/layers/ChainPacking.java
+++ b/core/src/main/java/org/amaranthpick/core/layers/ChainPacking.java
@@ -17,7 +17,8 @@
  * together. Designed for the loss of some engines while the others are full: with disjoint chains
  * each lost engine idles the rest of its chain, and the layer with the fewest holders bounds the
  * number of chains, however much memory those holders have. Chains that cross failure domains
- * together stay within the bandwidth between them.
+ * together stay within the bandwidth between them; the only chain may be small for that reason,
+ * since a fast one fills the bandwidth with few requests.
  */
 final class ChainPacking {
     /** Least capacity of a chain, in usual requests. */
@@ -35,6 +36,7 @@
     private final EngineModel mModel;
     private final List<UpstreamEntry> mEngines;
     private final LayerPathSearch.Costs mCosts;
+    private final double mUsualTokens;
     private final double mMinTokens;
 
     /** Memory that no chain has taken yet, as tokens times layers, by engine. */
@@ -49,13 +51,14 @@
         mModel = model;
         mEngines = holders;
         mCosts = costs;
-        double usualTokens = model.usualPromptTokens() + model.usualAnswerTokens();
-        mMinTokens = MIN_CHAIN_REQUESTS * Math.max(1, usualTokens);
+        double usualTokens = Math.max(1, model.usualPromptTokens() + model.usualAnswerTokens());
+        mUsualTokens = usualTokens;
+        mMinTokens = MIN_CHAIN_REQUESTS * usualTokens;
         mFreeTokenLayers = new double[holders.size()];
         mFreeEntryTokens = new double[holders.size()];
         for (int i = 0; i < holders.size(); i++) {
             mFreeTokenLayers[i] = model.kvTokenLayers(holders.get(i));
-            mFreeEntryTokens[i] = Math.max(1, model.slots()) * Math.max(1, usualTokens);
+            mFreeEntryTokens[i] = Math.max(1, model.slots()) * usualTokens;
         }
         mFreePipeMbps = PLANNED_PIPE_FRACTION * model.pipeMbps();
     }
@@ -114,7 +117,7 @@
             if (perTokenMbps > 0) {
                 tokens = Math.min(tokens, mFreePipeMbps / perTokenMbps);
             }
-            if (tokens < mMinTokens) {
+            if (tokens < (chains.isEmpty() ? mUsualTokens : mMinTokens)) {
                 return;
             }
             take(path, tokens, perTokenMbps);
--- a/core/src/test/java/org/amaranthpick/core/layers/ChainPackingTest.java
+++ b/core/src/test/java/org/amaranthpick/core/layers/ChainPackingTest.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.amaranthpick.core.gateway.EngineModel;
@@ -152,4 +153,41 @@
                 .filter(held -> firstHalf ? held.from() < middle : held.to() > middle)
                 .isPresent();
     }
+
+    /**
+     * A whole chain over two domains was taken for none, as it fills the pipe with few requests.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {400, 1000, 2000, 4000, 11_000})
+    void theOnlyChainIsFoundHoweverFewRequestsThePipeBears(int pipeMbps) {
+        EngineModel model =
+                new EngineModel(
+                        80,
+                        1750,
+                        393_000,
+                        134,
+                        0.85,
+                        0.0055,
+                        0.0073,
+                        196_000,
+                        760,
+                        174,
+                        14,
+                        OptionalInt.of(3),
+                        19_700,
+                        pipeMbps,
+                        3,
+                        LayerFixture.CARDS);
+        List<EngineLayerState> engines = new ArrayList<>();
+        LayerFixture.addEngines(engines, "x", "mid", 3);
+        LayerFixture.addEngines(engines, "y", "mid", 3);
+        List<UpstreamEntry> entries =
+                LayerFixture.toEntries(
+                        LayerFixture.applyOrders(
+                                engines, new LayerPlanner(model).plan(engines, d -> true)));
+        List<EngineChain> chains = new ChainFinder(model, "x").findPacked(entries, e -> true);
+        assertTrue(!chains.isEmpty() && chains.get(0).covers(80), chains.toString());
+        double requests = chains.get(0).kvCapacityTokens() / 934;
+        assertTrue(requests >= 1, requests + " requests");
+    }
 }
