Revert "Count full engines as present when capacity is lost"

It also did harm. To refuse at once is better for callers than a wait for nothing. That engines which are only full may count as lost stays open.

--- a/core/src/main/java/org/amaranthpick/core/gateway/CapacityLossAdmission.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/CapacityLossAdmission.java
@@ -78,16 +78,6 @@
         }
     }
 
-    /**
-     * Checks whether a capacity is so low that new requests would be limited.
-     *
-     * @param requests usual requests that fit into the memory of the chains
-     * @return true if most of the capacity would be lost
-     */
-    public boolean isLow(double requests) {
-        return requests < MIN_FRACTION_WITHOUT_LIMIT * mHighestRequests;
-    }
-
     /**
      * Checks whether most of the capacity has been lost for a while.
      *
--- a/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/LeastLoadedTargetPolicy.java
@@ -60,12 +60,8 @@
     private final Map<String, CachedChains> mCachedChains = new RecentServices<>();
     private final Map<String, CapacityLossAdmission> mAdmissions = new RecentServices<>();
     private final ChainOutages mOutages = new ChainOutages();
-    private final Map<String, PresentCapacity> mPresentCapacities = new RecentServices<>();
     private final IntSupplier mDaemons;
 
-    /** Memory of the chains over all engines that are not lost, as of a time. */
-    private record PresentCapacity(EngineModel model, double tokens, long foundNs) {}
-
     /**
      * Chains found at one version of the register and the health, and those of them that are intact
      * at a later one.
@@ -181,33 +177,10 @@
         EngineModel model = service.model().get();
         CapacityLossAdmission admission = admission(service.name());
         double usualTokens = model.usualPromptTokens() + model.usualAnswerTokens();
-        double requests = memory(chains(service, model, nowNs)) / usualTokens;
-        if (admission.isLow(requests)) {
-            requests = Math.max(requests, presentTokens(service, model, nowNs) / usualTokens);
-        }
-        admission.onCapacity(requests, nowNs);
+        admission.onCapacity(memory(chains(service, model, nowNs)) / usualTokens, nowNs);
         return admission.admits(mModelInProgress.getOrDefault(service.name(), 0));
     }
 
-    /** Returns the memory of the chains over all engines that are not lost, also full ones. */
-    private double presentTokens(GatewayService service, EngineModel model, long nowNs) {
-        PresentCapacity known = mPresentCapacities.get(service.name());
-        if (known == null
-                || !known.model().equals(model)
-                || nowNs - known.foundNs() >= CACHE_TIME_CHANGED.toNanos()) {
-            List<UpstreamEntry> present =
-                    mRegister.findByService(service.name()).stream()
-                            .filter(entry -> !mHealth.lost(entry.id(), nowNs))
-                            .filter(entry -> !mAdmission.leaving().isLeaving(entry, nowNs))
-                            .toList();
-            List<EngineChain> chains =
-                    new ChainFinder(model, mLocalDomain).findPacked(present, engine -> true);
-            known = new PresentCapacity(model, memory(chains), nowNs);
-            mPresentCapacities.put(service.name(), known);
-        }
-        return known.tokens();
-    }
-
     /**
      * Describes the capacity that new requests of a model are limited by.
      *
--- a/core/src/main/java/org/amaranthpick/core/register/UpstreamHealth.java
+++ b/core/src/main/java/org/amaranthpick/core/register/UpstreamHealth.java
@@ -37,9 +37,7 @@
     private final Map<String, FailureState> mBusy = new HashMap<>();
 
     /** What other daemons reported; kept apart, since it is less certain than own traffic. */
-    private final Map<String, FailureState> mReportedUnreachable = new HashMap<>();
-
-    private final Map<String, FailureState> mReportedBusy = new HashMap<>();
+    private final Map<String, FailureState> mReported = new HashMap<>();
 
     private final Map<String, FailureState> mFailing = new HashMap<>();
     private final Map<String, Long> mLastSuccessNs = new HashMap<>();
@@ -131,12 +129,9 @@
      * @return true if it was news, false if the upstream was excluded already
      */
     public boolean onReported(String id, HealthNote.Kind kind, long nowNs) {
-        if (excluded(id, nowNs)) {
-            return false;
-        }
-        return kind == HealthNote.Kind.UNREACHABLE
-                ? exclude(mReportedUnreachable, id, FIRST_EXCLUSION, nowNs)
-                : exclude(mReportedBusy, id, FIRST_BUSY_EXCLUSION, nowNs);
+        Duration first =
+                kind == HealthNote.Kind.UNREACHABLE ? FIRST_EXCLUSION : FIRST_BUSY_EXCLUSION;
+        return !excluded(id, nowNs) && exclude(mReported, id, first, nowNs);
     }
 
     /** Excludes an upstream for longer than the last time, unless it is excluded already. */
@@ -206,9 +201,8 @@
         mLastSuccessNs.put(id, nowNs);
         boolean failed = mFailing.remove(id) != null;
         boolean refused = mBusy.remove(id) != null;
-        boolean unreachable = mReportedUnreachable.remove(id) != null;
-        boolean busy = mReportedBusy.remove(id) != null;
-        if (failed || refused || unreachable || busy) {
+        boolean reported = mReported.remove(id) != null;
+        if (failed || refused || reported) {
             mVersion++;
         }
     }
@@ -234,20 +228,8 @@
      */
     public boolean excluded(String id, long nowNs) {
         return isExcluded(mBusy.get(id), nowNs)
-                || isExcluded(mReportedBusy.get(id), nowNs)
-                || lost(id, nowNs);
-    }
-
-    /**
-     * Checks whether an upstream is excluded for a failure that this or another daemon observed.
-     * One that refuses requests is not lost: it is full, and serves those that it has.
-     *
-     * @param id id of the upstream
-     * @param nowNs monotonic time
-     * @return true while it is excluded for a failure
-     */
-    public boolean lost(String id, long nowNs) {
-        return isExcluded(mReportedUnreachable.get(id), nowNs) || excludedForFailure(id, nowNs);
+                || isExcluded(mReported.get(id), nowNs)
+                || excludedForFailure(id, nowNs);
     }
 
     /**
