Pass on the latest change of an object, however large it is

Cause: the history of a followed daemon kept at most 512 KB, also of a single change. A change above that was dropped at once, and each follower listed the objects from the store. Below it, a host that had fallen behind got each version in between, of which it needs only the last. Class: a bound that was chosen for small objects.

The newest batch of changes is always kept, and of each object only the latest change after a revision is sent. Messages keep their form.

--- a/core/src/main/java/org/amaranthpick/core/follow/ChangeHistory.java
+++ b/core/src/main/java/org/amaranthpick/core/follow/ChangeHistory.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,7 +15,8 @@
 
 /**
  * Recent changes under a prefix, so that daemons which follow this one get each change once and
- * needn't list the objects after a short loss of contact. Bounded by bytes. A list after a lost
+ * needn't list the objects after a short loss of contact. Bounded by bytes, beside the newest
+ * batch; of an object that changes often only the latest change is passed on. A list after a lost
  * watch counts as the changes that lead to it, but only from the revision before: what was written
  * and deleted again in between is in neither. Confined to one thread.
  */
@@ -100,7 +102,8 @@
         forgetAnswer();
         mBatches.addLast(batch);
         mBytes += batch.bytes();
-        while (mBytes > MAX_BYTES) {
+        // Without the newest batch, each follower would have to list the objects.
+        while (mBytes > MAX_BYTES && mBatches.size() > 1) {
             Batch oldest = mBatches.removeFirst();
             mBytes -= oldest.bytes();
             mStart = oldest.revision();
@@ -113,8 +116,9 @@
     }
 
     /**
-     * Returns the changes after a revision, or nothing if some of them may be missing. Daemons that
-     * ask for the same changes get the same list, so that it can be encoded once.
+     * Returns the latest change of each object after a revision, or nothing if some changes may be
+     * missing. Daemons that ask for the same changes get the same list, so that it can be encoded
+     * once.
      */
     Optional<List<FollowedChange>> after(long revision) {
         if (StoreRevision.era(revision) != StoreRevision.era(mRevision) || revision < mStart) {
@@ -125,15 +129,24 @@
         }
         if (revision != mLastAnswerAfter) {
             mLastAnswerAfter = revision;
-            mLastAnswer =
-                    mBatches.stream()
-                            .filter(batch -> batch.revision() > revision)
-                            .flatMap(batch -> batch.changes().stream())
-                            .toList();
+            mLastAnswer = latestAfter(revision);
         }
         return Optional.of(mLastAnswer);
     }
 
+    private List<FollowedChange> latestAfter(long revision) {
+        Map<String, FollowedChange> latest = new LinkedHashMap<>();
+        for (Batch batch : mBatches) {
+            if (batch.revision() > revision) {
+                for (FollowedChange change : batch.changes()) {
+                    latest.remove(change.key());
+                    latest.put(change.key(), change);
+                }
+            }
+        }
+        return List.copyOf(latest.values());
+    }
+
     private void forgetAnswer() {
         mLastAnswerAfter = -1;
     }
