--- a/review/lab-2/Lab.java
+++ b/review/lab-2/Lab.java
@@ -63,6 +63,16 @@
         }
     }
 
+    /** Writes a line into the record only. */
+    static void note(String format, Object... values) {
+        String line =
+                String.format(Locale.ROOT, "%8.3f  ", now())
+                        + String.format(Locale.ROOT, format, values);
+        synchronized (Lab.class) {
+            sRecord.println(line);
+        }
+    }
+
     static void sleep(long ms) {
         try {
             Thread.sleep(ms);
@@ -224,11 +234,13 @@
             ObjectNode reply = JSON.createObjectNode();
             ArrayNode items = reply.putArray("items");
             boolean more = false;
+            long bytes = 0;
             for (ObjectNode object :
                     mKinds.getOrDefault(kind, new TreeMap<>())
                             .tailMap(query.getOrDefault("after", ""), !query.containsKey("after"))
                             .values()) {
-                if (items.size() == 500) {
+                bytes += object.toString().length();
+                if (items.size() == 500 || (bytes > 1_000_000 && !items.isEmpty())) {
                     more = true;
                     break;
                 }
@@ -499,6 +511,19 @@
                             extra));
         }
 
+        /** Writes the entry at each heartbeat, as an engine does. */
+        void beat(Store store) {
+            register(store, "ready");
+            Lab.start(
+                    id + "-beat",
+                    () -> {
+                        while (true) {
+                            sleep(1200);
+                            register(store, "ready");
+                        }
+                    });
+        }
+
         /** Ends as a crashed process does: every connection is reset, nothing listens. */
         void crash() {
             try {
