Refuse responses whose length, codings, chunks or lines are malformed

Callers saw a whole answer, with a body that was not the upstream's, where the head of an upstream's response was spoilt in what tells the length of the body, or held a line that is no field.

Cause: responses of upstreams, other hosts and the store are read by the library's client alone. Its parser is made for speed. It takes a blank for the colon, a line's end for an empty value and a bare CR for the end of a line, folds lines, reads "+5" as 5, goes by the first of several lengths, passes over a length beside a transfer coding, reads a body with another coding than chunked until the connection closes, and passes over what follows the digits of a chunk's size. What the connector is given is rewritten already: "nofield" and "nofield:" look alike.

Change: ValidatingConduit checks the bytes of each connection with ResponseValidator before the library's parser gets them, at the place where ProgressLimit stands. The validator follows RFC 9112 and accepts only what has one meaning; from the first malformed byte on, reads fail, so that no part of a head that is broken is told, whatever else it says, and the connection is closed. Requests that may be repeated go to another upstream, others are answered 502. Bytes behind a response close its connection.

--- a/server/src/main/java/org/amaranthpick/server/http/ConnectorCounters.java
+++ b/server/src/main/java/org/amaranthpick/server/http/ConnectorCounters.java
@@ -1,6 +1,9 @@
 package org.amaranthpick.server.http;
 
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.concurrent.atomic.LongAdder;
+import org.amaranthpick.server.http.response.ResponseFault;
 
 /** Counters of outgoing connections, for metrics. */
 public final class ConnectorCounters {
@@ -10,6 +13,14 @@
     private final LongAdder mReplaced = new LongAdder();
     private final LongAdder mSilent = new LongAdder();
     private final LongAdder mFailed = new LongAdder();
+    private final Map<ResponseFault, LongAdder> mMalformed = new EnumMap<>(ResponseFault.class);
+
+    /** Creates counters at zero. */
+    ConnectorCounters() {
+        for (ResponseFault fault : ResponseFault.values()) {
+            mMalformed.put(fault, new LongAdder());
+        }
+    }
 
     /** Counts a connection opened. */
     void countOpened() {
@@ -41,6 +52,11 @@
         mFailed.increment();
     }
 
+    /** Counts a response that is malformed. */
+    void countMalformed(ResponseFault fault) {
+        mMalformed.get(fault).increment();
+    }
+
     /**
      * Returns the connections opened.
      *
@@ -94,4 +110,14 @@
     public long failed() {
         return mFailed.sum();
     }
+
+    /**
+     * Returns the responses that were malformed.
+     *
+     * @param fault what was malformed
+     * @return count since the start
+     */
+    public long malformed(ResponseFault fault) {
+        return mMalformed.get(fault).sum();
+    }
 }
--- a/server/src/main/java/org/amaranthpick/server/http/HostPool.java
+++ b/server/src/main/java/org/amaranthpick/server/http/HostPool.java
@@ -148,7 +148,7 @@
 
     /** Takes back a connection whose call was read to its end. */
     void release(LimitedConnection connection) {
-        if (mClosed || !connection.isOpen()) {
+        if (mClosed || !connection.isReusable()) {
             connection.closeNow();
             return;
         }
@@ -182,7 +182,7 @@
     private Idle pollUsable() {
         while (!mIdle.isEmpty()) {
             Idle idle = mIdle.pollLast();
-            if (idle.connection().isOpen() && !isOld(idle)) {
+            if (idle.connection().isReusable() && !isOld(idle)) {
                 return idle;
             }
             idle.connection().closeNow();
--- a/server/src/main/java/org/amaranthpick/server/http/LimitingThread.java
+++ b/server/src/main/java/org/amaranthpick/server/http/LimitingThread.java
@@ -11,12 +11,12 @@
 import org.xnio.channels.BoundChannel;
 
 /**
- * Opens connections on an I/O thread with a {@link ProgressLimit} below the library's parser, which
- * has no limits of its own. Only passes on what it is asked for; never started as a thread.
+ * Opens connections on an I/O thread with {@link ReadGuards} below the library's parser. Only
+ * passes on what it is asked for; never started as a thread.
  */
 final class LimitingThread extends XnioIoThread {
     private final XnioIoThread mThread;
-    private Optional<ProgressLimit> mLatest = Optional.empty();
+    private Optional<ReadGuards> mLatest = Optional.empty();
 
     LimitingThread(XnioIoThread thread) {
         super(thread.getWorker(), thread.getNumber());
@@ -24,11 +24,11 @@
     }
 
     /**
-     * Returns the limit of the connection that was opened last, and forgets it: it would keep the
-     * last request on that connection. Called on the I/O thread.
+     * Returns the guards of the connection that was opened last, and forgets them: they would keep
+     * the last request on that connection. Called on the I/O thread.
      */
-    ProgressLimit takeLatest() {
-        ProgressLimit latest = mLatest.orElseThrow();
+    ReadGuards takeLatest() {
+        ReadGuards latest = mLatest.orElseThrow();
         mLatest = Optional.empty();
         return latest;
     }
@@ -47,7 +47,7 @@
             OptionMap options) {
         ChannelListener<StreamConnection> limiting =
                 connection -> {
-                    mLatest = Optional.of(ProgressLimit.install(connection.getSourceChannel()));
+                    mLatest = Optional.of(ReadGuards.install(connection.getSourceChannel()));
                     openListener.handleEvent(connection);
                 };
         return bindAddress == null
--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import org.amaranthpick.core.time.Cancellable;
 import org.amaranthpick.core.time.Scheduler;
+import org.amaranthpick.server.http.response.MalformedResponseException;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -148,7 +149,7 @@
         mConnection = connection;
         mReused = reused;
         mWrittenBefore = connection.client().getStatistics().getWritten();
-        connection.limit().onProgress();
+        connection.guards().onCall(mRequest.method());
         tellSending();
         if (mDone) {
             return;
@@ -232,7 +233,7 @@
         if (mDone) {
             return;
         }
-        mConnection.limit().onProgress();
+        mConnection.guards().onProgress();
         mSource = exchange.getResponseChannel();
         mSource.getReadSetter().set(channel -> run(() -> read(channel)));
         read(mSource);
@@ -256,7 +257,7 @@
                     return;
                 }
                 mLastByteNs = mScheduler.monotonicNs();
-                mConnection.limit().onProgress();
+                mConnection.guards().onProgress();
                 mListener.onBytes(buffer.flip());
                 if (!mListener.acceptsMore()) {
                     fail("the response is longer than its receiver takes");
@@ -319,10 +320,18 @@
         if (mReused && !mReplaced && nothingWritten()) {
             replaceConnection();
         } else {
-            fail(Failures.text(e));
+            fail(malformed().map(Failures::text).orElseGet(() -> Failures.text(e)));
         }
     }
 
+    /** Returns why the response can't be read; the library may tell of something that follows. */
+    private Optional<IOException> malformed() {
+        Optional<MalformedResponseException> malformed =
+                Optional.ofNullable(mConnection).flatMap(c -> c.guards().malformed());
+        malformed.ifPresent(e -> mPool.counters().countMalformed(e.fault()));
+        return malformed.map(e -> e);
+    }
+
     private void replaceConnection() {
         mReplaced = true;
         mPool.counters().countReplaced();
