Refuse responses with a field whose name is no token

Callers saw an answer of an upstream in trouble with a line passed on whose name held a blank or a control byte, or, where that line was to tell the length, a body that was not the upstream's.

Cause: the library's parser ends a name at a blank as at a colon, so that "X A: v" becomes a field X with the value "A: v", and keeps any other byte below 128. Nothing behind it looked at names.

Names of all token characters are still read.

--- a/server/src/main/java/org/amaranthpick/server/http/response/Characters.java
+++ b/server/src/main/java/org/amaranthpick/server/http/response/Characters.java
@@ -8,6 +8,11 @@
 
     private Characters() {}
 
+    /** Returns whether a text is a token: one character or more, such as a field's name. */
+    static boolean isToken(String text) {
+        return !text.isEmpty() && text.chars().allMatch(Characters::isTokenCharacter);
+    }
+
     static boolean isTokenCharacter(int c) {
         return isDigit(c)
                 || (c >= 'a' && c <= 'z')
--- a/server/src/main/java/org/amaranthpick/server/http/response/FieldLine.java
+++ b/server/src/main/java/org/amaranthpick/server/http/response/FieldLine.java
@@ -3,7 +3,7 @@
 /**
  * Field of a head or of trailers.
  *
- * @param name text before the colon
+ * @param name token
  * @param value text without blanks at its ends, perhaps empty
  */
 record FieldLine(String name, String value) {
@@ -19,6 +19,10 @@
                     ResponseFault.FIELD, QuotedText.of(line) + " is no field");
         }
         String name = line.substring(0, colon);
+        if (!Characters.isToken(name)) {
+            throw new MalformedResponseException(
+                    ResponseFault.FIELD, QuotedText.of(name) + " is no name of a field");
+        }
         String value = Characters.trimBlanks(line.substring(colon + 1));
         if (!Characters.isFieldText(value)) {
             throw new MalformedResponseException(
--- a/server/src/test/java/org/amaranthpick/server/http/MalformedResponseTest.java
+++ b/server/src/test/java/org/amaranthpick/server/http/MalformedResponseTest.java
@@ -4,9 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.undertow.util.HeaderValues;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
 import org.amaranthpick.server.http.response.ResponseFault;
 import org.amaranthpick.server.time.IoThreadScheduler;
 import org.junit.jupiter.api.AfterEach;
@@ -25,6 +31,17 @@
     private static final String WHOLE = OK + "Content-Length: 5\r\n\r\nhello";
     private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
 
+    private static final String[] SAMPLES = {
+        OK + "Seal: s\r\nContent-Length: 5\r\nX: a,b \"c\"\r\n\r\nhello",
+        "HTTP/1.0 404 Not Found\r\nContent-Length:5\r\n\r\nhello",
+        OK + "Seal: s\r\n\r\nhello",
+        CHUNKED + "3\r\nhel\r\n2;a=\"b\"\r\nlo\r\n0\r\nA: b\r\n\r\n"
+    };
+    private static final String ODD_BYTES =
+            "\r\n\t :;,=\"\\+-019aAxX\u0000\u0001\u007f\u0080\u00ff";
+    private static final int CASES = 1_000;
+    private static final int MAX_MUTATIONS = 3;
+
     private XnioWorker mWorker;
     private HttpConnector mConnector;
     private RawServer mServer;
@@ -61,6 +78,7 @@
 
     @ParameterizedTest
     @CsvSource({
+        "'HTTP/1.1 200 OK\r\nX A: v\r\nContent-Length: 5\r\n\r\nhello',FIELD",
         "'HTTP/1.1 503 Busy\r\nnofield\r\nContent-Length: 0\r\n\r\n',FIELD",
         "'HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello',LENGTH",
         "'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nhello',LENGTH",
@@ -136,6 +154,60 @@
         assertEquals(expected, lowBytes(value));
     }
 
+    /**
+     * Responses with some odd bytes. What is told of one is what a reader by the letter of RFC 9112
+     * finds in it, or nothing.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {59, 60, 61})
+    void nothingIsToldThatTheBytesDoNotSay(long seed) throws Exception {
+        SplittableRandom random = new SplittableRandom(seed);
+        int told = 0;
+        // The server closes each connection, which a further call on it might not see in time.
+        try (HttpConnector connector = newConnector(Duration.ZERO)) {
+            for (int number = 0; number < CASES; number++) {
+                String response = mutated(SAMPLES[random.nextInt(SAMPLES.length)], random);
+                mServer.respondAndClose(response);
+                BodyCollector.Reply reply = mServer.call(connector, "GET");
+                Optional<StrictResponse> expected = StrictResponse.parse(response);
+                if (reply.end() instanceof CallEnd.Complete) {
+                    told++;
+                    assertEquals(expected, Optional.of(read(reply)), response);
+                } else {
+                    assertTrue(
+                            expected.filter(StrictResponse::isFinal).isEmpty(),
+                            () -> reply.end() + " after " + response);
+                }
+            }
+        }
+        assertTrue(told > 0 && told < CASES, "told: " + told);
+    }
+
+    private static StrictResponse read(BodyCollector.Reply reply) {
+        TreeMap<String, List<String>> fields = new TreeMap<>();
+        for (HeaderValues values : reply.headers()) {
+            fields.put(
+                    values.getHeaderName().toString().toLowerCase(Locale.ROOT),
+                    values.stream().map(MalformedResponseTest::lowBytes).toList());
+        }
+        return new StrictResponse(reply.status(), fields, text(reply));
+    }
+
+    private static String mutated(String response, SplittableRandom random) {
+        StringBuilder mutated = new StringBuilder(response);
+        for (int left = random.nextInt(MAX_MUTATIONS + 1); left > 0; left--) {
+            int index = random.nextInt(mutated.length());
+            char next = ODD_BYTES.charAt(random.nextInt(ODD_BYTES.length()));
+            switch (random.nextInt(4)) {
+                case 0 -> mutated.setCharAt(index, next);
+                case 1 -> mutated.insert(index, next);
+                case 2 -> mutated.deleteCharAt(index);
+                default -> mutated.setCharAt(index, (char) random.nextInt(256));
+            }
+        }
+        return mutated.toString();
+    }
+
     private static String lowBytes(String text) {
         StringBuilder bytes = new StringBuilder();
         text.chars().forEach(c -> bytes.append((char) (c & 0xff)));
--- a/server/src/test/java/org/amaranthpick/server/http/response/ResponseValidatorTest.java
+++ b/server/src/test/java/org/amaranthpick/server/http/response/ResponseValidatorTest.java
@@ -194,6 +194,26 @@
         assertMalformed(ResponseFault.FIELD, "HTTP/1.1 103 Hints\r\n" + line + "\r\n\r\n" + OK);
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X A: v",
+                "X-A : v",
+                "X\tA: v",
+                "X\u0001A: v",
+                "X\u007fA: v",
+                "\u0000: v",
+                "X\u0080: v",
+                "X(A): v",
+                "X@A: v",
+                "X\"A: v",
+                "Content Length: 5"
+            })
+    void refusesANameThatIsNoToken(String line) {
+        assertMalformed(ResponseFault.FIELD, OK + line + "\r\nContent-Length: 5\r\n\r\nhello");
+        assertMalformed(ResponseFault.FIELD, CHUNKED + "5\r\nhello\r\n0\r\n" + line + "\r\n\r\n");
+    }
+
     @ParameterizedTest
     @CsvSource({
         "5x",
