Test that a status such as 000 loses the response in the connector

On other systems callers got the status 000 of an engine in trouble as an answer. Here it is handled already: OutgoingCall takes statuses from 200 to 599 only.

--- a/server/src/test/java/org/amaranthpick/server/http/MalformedResponseTest.java
+++ b/server/src/test/java/org/amaranthpick/server/http/MalformedResponseTest.java
@@ -100,6 +100,16 @@
         assertEquals(2, mServer.connections());
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "001", "099", "600", "999"})
+    void aStatusThatIsNoFinalOneIsLost(String status) throws Exception {
+        mServer.respond("HTTP/1.1 " + status + " Trouble\r\nContent-Length: 5\r\n\r\nhello");
+        BodyCollector.Reply reply = mServer.call(mConnector, "GET");
+        assertInstanceOf(CallEnd.Lost.class, reply.end());
+        assertEquals("", text(reply));
+        assertTrue(mServer.awaitClosedByClient());
+    }
+
     /** The response is whole; its connection is not used again. */
     @ParameterizedTest
     @ValueSource(strings = {WHOLE, CHUNKED + "5\r\nhello\r\n0\r\n\r\n"})
