End responses of the statuses 204 and 304 with their heads

Callers of an upstream that answered 304 with a length or a transfer coding, as RFC 9110 allows, or 204 or 304 with another version than HTTP/1.1, got 504 after the time for silence. Where bytes followed such a head, they could get these as the body.

Cause: the library's client reads a body where the fields or the version let it expect one, also after a status that has none.

Change: OutgoingCall ends at the head of such a response and closes its connection (BodilessResponses). Where the library reads no body, as for 204 without a length, the connection is kept as before.

--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -234,6 +234,11 @@
             return;
         }
         mConnection.guards().onProgress();
+        if (BodilessResponses.endsUnread(response)) {
+            closeConnection();
+            end(new CallEnd.Complete());
+            return;
+        }
         mSource = exchange.getResponseChannel();
         mSource.getReadSetter().set(channel -> run(() -> read(channel)));
         read(mSource);
--- a/server/src/test/java/org/amaranthpick/server/http/MalformedResponseTest.java
+++ b/server/src/test/java/org/amaranthpick/server/http/MalformedResponseTest.java
@@ -35,7 +35,9 @@
         OK + "Seal: s\r\nContent-Length: 5\r\nX: a,b \"c\"\r\n\r\nhello",
         "HTTP/1.0 404 Not Found\r\nContent-Length:5\r\n\r\nhello",
         OK + "Seal: s\r\n\r\nhello",
-        CHUNKED + "3\r\nhel\r\n2;a=\"b\"\r\nlo\r\n0\r\nA: b\r\n\r\n"
+        CHUNKED + "3\r\nhel\r\n2;a=\"b\"\r\nlo\r\n0\r\nA: b\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n"
     };
     private static final String ODD_BYTES =
             "\r\n\t :;,=\"\\+-019aAxX\u0000\u0001\u007f\u0080\u00ff";
