--- a/core/src/main/java/org/amaranthpick/core/gateway/UpstreamVerdict.java
+++ b/core/src/main/java/org/amaranthpick/core/gateway/UpstreamVerdict.java
@@ -19,6 +19,10 @@
      */
     record NotRun(Optional<String> faultyAddress, boolean misdirected) implements UpstreamVerdict {}
 
-    /** The response belongs to another request or to none. */
-    record Foreign() implements UpstreamVerdict {}
+    /**
+     * The response belongs to another request, or its body is not the upstream's own.
+     *
+     * @param reason what shows it, for logs
+     */
+    record Foreign(String reason) implements UpstreamVerdict {}
 }
--- a/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/ForwardAttempt.java
@@ -137,10 +137,10 @@
                 mContext.dialect()
                         .classifyResponse(status, headers, mRequest.metadata().requestId());
         mVerdict = Optional.of(verdict);
-        if (verdict instanceof UpstreamVerdict.Foreign) {
+        if (verdict instanceof UpstreamVerdict.Foreign foreign) {
             end();
             mCall.cancel();
-            mExchange.onResponseLost(this, "received the response to another request");
+            mExchange.onResponseLost(this, foreign.reason());
             return;
         }
         mContext.admission()
