Count malformed responses, name the request in the line of a relayed one

Operators saw of a malformed response only a line "lost" with a reason. amaranthpick_gateway_malformed_responses_total counts them by fault, over connections to upstreams and to other hosts that relay or report. The line "relay" of the host that passes a request on names it, so that it can be matched with the line "lost" of the host that it came from. Orders to engines and the store are not counted.

--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -135,6 +135,11 @@
         UpstreamAdmission admission = new UpstreamAdmission(rateLimits);
         connectHealthGossip(register, health, rateLimits, admission.leaving());
         mReach = createReach(dialect, register, health, admission);
+        mMetrics.observeMalformedResponses(
+                List.of(
+                        mReach.connector().direct().counters(),
+                        mReach.connector().relayed().counters(),
+                        mPeerConnector.counters()));
         EngineControl engineControl = mReach.obeyPauses(engines.apply(mReach.connector()));
         mRoomObservation =
                 createRoomObservation(register, sender -> mReach.obeyPauses(engines.apply(sender)));
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -1,6 +1,7 @@
 package org.amaranthpick.server.gateway;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -13,6 +14,7 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 import java.util.function.IntSupplier;
 import org.amaranthpick.core.gateway.RequestKind;
@@ -20,6 +22,8 @@
 import org.amaranthpick.core.invariant.Invariant;
 import org.amaranthpick.core.invariant.Invariants;
 import org.amaranthpick.core.reach.RelayReply;
+import org.amaranthpick.server.http.ConnectorCounters;
+import org.amaranthpick.server.http.response.ResponseFault;
 
 /** Counters and latency histograms of a gateway. */
 final class GatewayMetrics {
@@ -199,6 +203,31 @@
                 .register(mRegistry);
     }
 
+    /**
+     * Shows how many responses were malformed.
+     *
+     * @param connections counters of the connections that they came over
+     */
+    void observeMalformedResponses(List<ConnectorCounters> connections) {
+        CounterWithCallback.builder()
+                .name("amaranthpick_gateway_malformed_responses_total")
+                .help(
+                        "Responses of upstreams and other daemons that were malformed and not"
+                                + " used, by fault")
+                .labelNames("fault")
+                .callback(
+                        callback -> {
+                            for (ResponseFault fault : ResponseFault.values()) {
+                                long count =
+                                        connections.stream()
+                                                .mapToLong(counters -> counters.malformed(fault))
+                                                .sum();
+                                callback.call((double) count, fault.label());
+                            }
+                        })
+                .register(mRegistry);
+    }
+
     void onFirstEvent(Duration elapsed) {
         mFirstEventTime.observe(seconds(elapsed));
     }
--- a/server/src/main/java/org/amaranthpick/server/gateway/RelayedExchange.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/RelayedExchange.java
@@ -43,6 +43,7 @@
     private Runnable mStopDetector = () -> {};
     private Optional<OutgoingCall> mCall = Optional.empty();
     private Optional<Runnable> mWithoutBody = Optional.empty();
+    private String mRequestId = "";
     private boolean mSending;
     private boolean mHeadSent;
     private boolean mEnded;
@@ -75,10 +76,11 @@
     private void send(HttpConnector connector, OpenedConnection connection, byte[] body) {
         mStopDetector = DisconnectDetector.start(mExchange, () -> run(this::onDisconnected))::stop;
         mContext.admission().onSent(mUpstream, mContext.scheduler().monotonicNs());
+        CallerRequestMetadata metadata =
+                mContext.dialect().readCallerRequest(mExchange.getRequestHeaders());
+        mRequestId = metadata.requestId();
         Duration timeLimit =
-                mContext.dialect()
-                        .readCallerRequest(mExchange.getRequestHeaders())
-                        .deadline()
+                metadata.deadline()
                         .map(deadline -> deadline.plus(DEADLINE_MARGIN))
                         .orElse(DEFAULT_TIME_LIMIT);
         OutgoingRequest request =
@@ -238,8 +240,8 @@
         mEnded = true;
         mStopDetector.run();
         sLogger.atInfo().log(
-                "relay: upstream=%s peer=%s detail=\"%s\"",
-                mUpstream.id(), mExchange.getSourceAddress(), detail);
+                "relay: upstream=%s request=%s peer=%s detail=\"%s\"",
+                mUpstream.id(), mRequestId, mExchange.getSourceAddress(), detail);
         mOnEnded.accept(this);
     }
 }
