Count a malformed response where its call fails, not where it is looked up

No change of behaviour; MalformedResponseTest of the connector (42) and of the platform (51), BodilessResponseTest (17) and CutResponseTest (8) pass.

--- a/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
+++ b/server/src/main/java/org/amaranthpick/server/http/OutgoingCall.java
@@ -325,16 +325,16 @@
         if (mReused && !mReplaced && nothingWritten()) {
             replaceConnection();
         } else {
-            fail(malformed().map(Failures::text).orElseGet(() -> Failures.text(e)));
+            Optional<MalformedResponseException> malformed = malformed();
+            malformed.ifPresent(cause -> mPool.counters().countMalformed(cause.fault()));
+            fail(Failures.text(malformed.isPresent() ? malformed.get() : e));
         }
     }
 
-    /** Returns why the response can't be read; the library may tell of something that follows. */
-    private Optional<IOException> malformed() {
-        Optional<MalformedResponseException> malformed =
-                Optional.ofNullable(mConnection).flatMap(c -> c.guards().malformed());
-        malformed.ifPresent(e -> mPool.counters().countMalformed(e.fault()));
-        return malformed.map(e -> e);
+    /** Returns why the response can't be read; what the library tells of may follow from it. */
+    private Optional<MalformedResponseException> malformed() {
+        return Optional.ofNullable(mConnection)
+                .flatMap(connection -> connection.guards().malformed());
     }
 
     private void replaceConnection() {
