--- a/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/Gateway.java
@@ -136,10 +136,7 @@
         connectHealthGossip(register, health, rateLimits, admission.leaving());
         mReach = createReach(dialect, register, health, admission);
         mMetrics.observeMalformedResponses(
-                List.of(
-                        mReach.connector().direct().counters(),
-                        mReach.connector().relayed().counters(),
-                        mPeerConnector.counters()));
+                List.of(mReach.connector().direct(), mReach.connector().relayed(), mPeerConnector));
         EngineControl engineControl = mReach.obeyPauses(engines.apply(mReach.connector()));
         mRoomObservation =
                 createRoomObservation(register, sender -> mReach.obeyPauses(engines.apply(sender)));
--- a/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
+++ b/server/src/main/java/org/amaranthpick/server/gateway/GatewayMetrics.java
@@ -22,7 +22,7 @@
 import org.amaranthpick.core.invariant.Invariant;
 import org.amaranthpick.core.invariant.Invariants;
 import org.amaranthpick.core.reach.RelayReply;
-import org.amaranthpick.server.http.ConnectorCounters;
+import org.amaranthpick.server.http.HttpConnector;
 import org.amaranthpick.server.http.response.ResponseFault;
 
 /** Counters and latency histograms of a gateway. */
@@ -206,9 +206,9 @@
     /**
      * Shows how many responses were malformed.
      *
-     * @param connections counters of the connections that they came over
+     * @param connectors what received them
      */
-    void observeMalformedResponses(List<ConnectorCounters> connections) {
+    void observeMalformedResponses(List<HttpConnector> connectors) {
         CounterWithCallback.builder()
                 .name("amaranthpick_gateway_malformed_responses_total")
                 .help(
@@ -219,8 +219,8 @@
                         callback -> {
                             for (ResponseFault fault : ResponseFault.values()) {
                                 long count =
-                                        connections.stream()
-                                                .mapToLong(counters -> counters.malformed(fault))
+                                        connectors.stream()
+                                                .mapToLong(c -> c.counters().malformed(fault))
                                                 .sum();
                                 callback.call((double) count, fault.label());
                             }
